--- /dev/null
+++ b/packages/core/base/Assert.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <cstdio>
+#include <cstdlib>
+
+/** Checks a precondition of a public method. A violation is a programming error of the caller:
+    it is reported on standard error and ends the process, in every build type. */
+#define MUSTARDSHIFT_ASSERT(condition)                                                             \
+  do {                                                                                             \
+    if (!(condition)) {                                                                            \
+      std::fprintf(stderr, "%s:%d: precondition failed: %s\n", __FILE__, __LINE__, #condition);    \
+      std::abort();                                                                                \
+    }                                                                                              \
+  } while (false)
--- /dev/null
+++ b/packages/core/base/Verdict.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <array>
+#include <string_view>
+#include <utility>
+
+namespace mustardshift {
+
+/** Says whether a request may have taken effect. */
+enum class Verdict
+{
+  /** The request ran, and its answer is complete. */
+  Run,
+  /** The request has not run and never will. */
+  NotRun,
+  /** The request may have run; the caller has to ask or to repeat it under the same id. */
+  MayHaveRun,
+};
+
+inline constexpr std::array<std::pair<Verdict, std::string_view>, 3> kVerdictNames{ {
+  { Verdict::Run, "run" },
+  { Verdict::NotRun, "not-run" },
+  { Verdict::MayHaveRun, "may-have-run" },
+} };
+
+/** Returns the verdict's name. Thread safety: pure. */
+std::string_view ToString(Verdict aVerdict);
+
+} // namespace mustardshift
