--- a/packages/core/base/BoundedRing.h
+++ b/packages/core/base/BoundedRing.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "core/base/Assert.h"
+#include "core/base/Instant.h"
 
 #include <cstddef>
 #include <oneapi/tbb/concurrent_queue.h>
 #include <optional>
+#include <semaphore>
 #include <utility>
 
 namespace mustardshift {
@@ -13,46 +15,43 @@
 
     Thread safety: all methods may be called from any thread. */
 template<class T>
-class BoundedRing
-{
+class BoundedRing {
 public:
   /** Precondition: aCapacity > 0. */
-  explicit BoundedRing(std::size_t aCapacity)
-  {
+  explicit BoundedRing(std::size_t aCapacity) {
     MUSTARDSHIFT_ASSERT(aCapacity > 0);
     this->queue.set_capacity(static_cast<std::ptrdiff_t>(aCapacity));
   }
 
   /** Adds an item; returns false, and leaves the item out, when the ring is full. */
-  bool TryPush(T aItem) { return this->queue.try_push(std::move(aItem)); }
-
-  /** Takes the oldest item, or nothing when the ring is empty. */
-  std::optional<T> TryPop()
-  {
-    T item;
-    if (!this->queue.try_pop(item)) {
-      return std::nullopt;
+  bool TryPush(T aItem) {
+    if (!this->queue.try_push(std::move(aItem))) {
+      return false;
     }
-    return item;
+    this->items.release();
+    return true;
   }
 
-  /** Waits for an item. Returns nothing after Close(). */
-  std::optional<T> Pop()
-  {
-    try {
-      T item;
-      this->queue.pop(item);
-      return item;
-    } catch (const oneapi::tbb::user_abort&) {
+  /** Adds an item; waits while the ring is full. */
+  void Push(T aItem) {
+    this->queue.push(std::move(aItem));
+    this->items.release();
+  }
+
+  /** Takes the oldest item, or nothing when none comes within aTimeout. */
+  std::optional<T> PopFor(Duration aTimeout) {
+    if (!this->items.try_acquire_for(aTimeout)) {
       return std::nullopt;
     }
+    T item;
+    this->queue.pop(item);
+    return item;
   }
 
-  /** Wakes all threads that wait in Pop(). */
-  void Close() { this->queue.abort(); }
-
 private:
   oneapi::tbb::concurrent_bounded_queue<T> queue;
+  /** Counts the items; oneTBB's queue has no wait with a timeout. */
+  std::counting_semaphore<> items{ 0 };
 };
 
 } // namespace mustardshift
--- /dev/null
+++ b/packages/daemon/loop/EventLoop.cpp
@@ -0,0 +1,117 @@
+#include "daemon/loop/EventLoop.h"
+
+#include "adapters/clock/SystemBootClock.h"
+
+#include <algorithm>
+#include <future>
+#include <memory>
+
+namespace mustardshift {
+
+namespace {
+
+/** Longest wait for a task, so that Stop() takes effect soon. */
+constexpr Duration kLongestWait = std::chrono::milliseconds(100);
+
+} // namespace
+
+EventLoop::EventLoop(std::size_t aCapacity)
+  : ring(aCapacity) {}
+
+EventLoop::~EventLoop() {
+  this->Stop();
+}
+
+void EventLoop::Start() {
+  MUSTARDSHIFT_ASSERT(!this->thread.joinable());
+  this->thread = std::thread([this] { this->Run(); });
+}
+
+void EventLoop::Stop() {
+  this->stopping = true;
+  // Producers that wait for room in a full ring go on once it is emptied.
+  if (this->thread.joinable()) {
+    this->thread.join();
+  }
+  while (this->ring.PopFor(Duration{ 0 })) {
+  }
+}
+
+bool EventLoop::TryPost(Task aTask) {
+  if (this->stopping) {
+    return false;
+  }
+  return this->ring.TryPush(std::move(aTask));
+}
+
+void EventLoop::Post(Task aTask) {
+  if (this->stopping) {
+    return;
+  }
+  if (std::this_thread::get_id() == this->thread.get_id()) {
+    this->deferred.push_back(std::move(aTask));
+    return;
+  }
+  this->ring.Push(std::move(aTask));
+}
+
+bool EventLoop::PostAndWait(const Task& aTask) {
+  const auto done = std::make_shared<std::promise<void>>();
+  std::future<void> finished = done->get_future();
+  this->Post([aTask, done](Instant aNow) {
+    aTask(aNow);
+    done->set_value();
+  });
+  while (!this->stopping) {
+    if (finished.wait_for(kLongestWait) == std::future_status::ready) {
+      return true;
+    }
+  }
+  return finished.wait_for(std::chrono::seconds(0)) == std::future_status::ready;
+}
+
+EventLoop::TimerId EventLoop::Schedule(Instant aDue, Task aTask) {
+  const TimerId timer{ aDue, this->nextTimer++ };
+  this->timers.emplace(timer, std::move(aTask));
+  return timer;
+}
+
+void EventLoop::Cancel(TimerId aTimer) {
+  this->timers.erase(aTimer);
+}
+
+void EventLoop::FireTimers(Instant aNow) {
+  while (!this->timers.empty() && this->timers.begin()->first.first <= aNow) {
+    const auto timer = this->timers.begin();
+    const Task task = std::move(timer->second);
+    this->timers.erase(timer);
+    task(aNow);
+    this->RunDeferred();
+  }
+}
+
+void EventLoop::RunDeferred() {
+  while (!this->deferred.empty()) {
+    const Task task = std::move(this->deferred.front());
+    this->deferred.pop_front();
+    task(SystemBootClock{}.Now());
+  }
+}
+
+void EventLoop::Run() {
+  while (!this->stopping) {
+    const Instant now = SystemBootClock{}.Now();
+    this->FireTimers(now);
+    Duration wait = kLongestWait;
+    if (!this->timers.empty()) {
+      wait = std::clamp(this->timers.begin()->first.first - now, Duration{ 0 }, kLongestWait);
+    }
+    const std::optional<Task> task = this->ring.PopFor(wait);
+    if (task) {
+      (*task)(SystemBootClock{}.Now());
+      this->RunDeferred();
+    }
+  }
+}
+
+} // namespace mustardshift
--- /dev/null
+++ b/packages/daemon/request/DatabaseDispatcher.cpp
@@ -0,0 +1,475 @@
+#include "daemon/request/DatabaseDispatcher.h"
+
+#include "core/base/Assert.h"
+
+#include <algorithm>
+#include <functional>
+#include <utility>
+
+namespace mustardshift {
+
+namespace {
+
+constexpr std::size_t kQueueLimitPerOrganisation = 1024;
+constexpr std::size_t kQueueLimit = 8192;
+/** Routes may allow data of at most this age. */
+constexpr Duration kLongestFreshness = std::chrono::minutes(10);
+/** How often queues are searched for operations whose deadline passed. */
+constexpr Duration kExpiryInterval = std::chrono::milliseconds(10);
+/** Pause before a replica is asked again after a failed confirmation. */
+constexpr Duration kConfirmRetryPause = std::chrono::milliseconds(20);
+/** Longest wait that one confirmation request asks for; it is repeated until the deadline. */
+constexpr Duration kConfirmWait = std::chrono::seconds(2);
+/** Time for an answer to travel, on top of the wait that a request asks for. */
+constexpr Duration kAnswerAllowance = std::chrono::seconds(1);
+
+LogPosition PositionOf(const database::v1::Position& aPosition)
+{
+  return { aPosition.term(), aPosition.offset() };
+}
+
+std::vector<TermStart> HistoryOf(const database::v1::ServerReport& aReport)
+{
+  std::vector<TermStart> starts;
+  for (const database::v1::TermStart& start : aReport.history()) {
+    starts.push_back({ start.term(), start.first_offset() });
+  }
+  return starts;
+}
+
+} // namespace
+
+/** A wait for a majority; the first valid confirmation of a replica ends it. */
+struct DatabaseDispatcher::Confirmation
+{
+  LogPosition position;
+  Instant deadline{};
+  Instant started{};
+  ConfirmCallback callback;
+  bool isDone = false;
+
+  void Finish(Instant aNow, Outcome<void> aOutcome)
+  {
+    if (this->isDone) {
+      return;
+    }
+    this->isDone = true;
+    this->callback(aNow, std::move(aOutcome));
+  }
+};
+
+DatabaseDispatcher::DatabaseDispatcher(EventLoop& aLoop,
+                                       DatabaseName aName,
+                                       std::string aUserAgent,
+                                       FailureDomainName aFailureDomain)
+  : loop(aLoop)
+  , userAgent(std::move(aUserAgent))
+  , failureDomain(std::move(aFailureDomain))
+  , primaryQueue(kQueueLimitPerOrganisation, kQueueLimit)
+  , freshness(kLongestFreshness)
+  , generator(std::hash<std::string>{}(this->userAgent + aName.Text()))
+{
+  this->group.name = std::move(aName);
+}
+
+DatabaseDispatcher::Queue DatabaseDispatcher::MakeQueue() const
+{
+  Queue queue(kQueueLimitPerOrganisation, kQueueLimit);
+  for (const auto& [organisation, weight] : this->weights) {
+    queue.SetWeight(organisation, weight);
+  }
+  return queue;
+}
+
+void DatabaseDispatcher::Configure(Instant aNow, const Configuration& aConfiguration)
+{
+  for (const Organisation& organisation : aConfiguration.organisations) {
+    this->weights[organisation.name] = organisation.weight;
+    this->primaryQueue.SetWeight(organisation.name, organisation.weight);
+    for (auto& [address, server] : this->servers) {
+      server.queue.SetWeight(organisation.name, organisation.weight);
+    }
+  }
+  for (const DatabaseGroup& candidate : aConfiguration.databases) {
+    if (candidate.name == this->group.name) {
+      this->group = candidate;
+    }
+  }
+  for (const DatabaseServer& configured : this->group.servers) {
+    auto found = this->servers.find(configured.address);
+    if (found == this->servers.end()) {
+      auto pool = std::make_shared<ServerPool>(
+        this->loop,
+        configured.address,
+        this->userAgent,
+        [weak = this->weak_from_this(), address = configured.address](Instant aLater) {
+          if (const auto self = weak.lock()) {
+            self->Pump(aLater, address);
+          }
+        });
+      pool->SetEntitlement(this->entitlement);
+      ReplicaView view;
+      view.address = configured.address;
+      view.isLocal = configured.failureDomain == this->failureDomain;
+      found =
+        this->servers
+          .emplace(
+            configured.address,
+            Server{ view,
+                    std::move(pool),
+                    std::make_shared<DatabaseServerClient>(configured.address, this->userAgent),
+                    this->MakeQueue() })
+          .first;
+    }
+    found->second.view.inService =
+      !aConfiguration.drainedFailureDomains.contains(configured.failureDomain);
+  }
+  this->OpenAhead(aNow);
+}
+
+void DatabaseDispatcher::SetEntitlement(unsigned aConnections)
+{
+  this->entitlement = aConnections;
+  for (auto& [address, server] : this->servers) {
+    server.pool->SetEntitlement(aConnections);
+  }
+}
+
+void DatabaseDispatcher::OpenAhead(Instant aNow)
+{
+  for (auto& [address, server] : this->servers) {
+    server.pool->OpenAhead(aNow);
+  }
+}
+
+void DatabaseDispatcher::SetPrimary(Instant aNow, const GroupPrimary& aPrimary)
+{
+  if (aPrimary.term <= this->primary.term) {
+    return;
+  }
+  const GroupPrimary old = std::exchange(this->primary, aPrimary);
+  const auto deposed = this->servers.find(old.server);
+  if (deposed != this->servers.end() && old.server != aPrimary.server) {
+    deposed->second.pool->CloseAll();
+  }
+  this->Pump(aNow, aPrimary.server);
+}
+
+void DatabaseDispatcher::ObserveReport(Instant aNow,
+                                       const ServerAddress& aServer,
+                                       Instant aSentAt,
+                                       const database::v1::ServerReport& aReport)
+{
+  const auto found = this->servers.find(aServer);
+  if (found == this->servers.end()) {
+    return;
+  }
+  ReplicaView& view = found->second.view;
+  if (aSentAt < view.observedAt) {
+    return;
+  }
+  view.observedAt = aSentAt;
+  view.acceptedTerm = aReport.accepted_term();
+  view.position = PositionOf(aReport.position());
+  view.history = TermHistory(HistoryOf(aReport));
+  view.consecutiveFailures = 0;
+  this->Pump(aNow, aServer);
+}
+
+void DatabaseDispatcher::ObserveConfirmed(Instant aSentAt, LogPosition aPosition)
+{
+  if (aPosition.term == this->primary.term) {
+    this->freshness.Observe(aSentAt, aPosition);
+  }
+}
+
+void DatabaseDispatcher::EnqueueAtPrimary(Instant aNow, Operation aOperation)
+{
+  this->Enqueue(aNow, this->primaryQueue, std::move(aOperation));
+  this->Pump(aNow, this->primary.server);
+}
+
+void DatabaseDispatcher::EnqueueAtServer(Instant aNow,
+                                         const ServerAddress& aServer,
+                                         Operation aOperation)
+{
+  this->Enqueue(aNow, this->ServerOf(aServer).queue, std::move(aOperation));
+  this->Pump(aNow, aServer);
+}
+
+void DatabaseDispatcher::Enqueue(Instant aNow, Queue& aQueue, Operation aOperation)
+{
+  const auto operation = std::make_shared<Operation>(std::move(aOperation));
+  const Outcome<void> pushed =
+    aQueue.Push(operation->organisation, operation, operation->deadline);
+  if (!pushed) {
+    operation->refuse(aNow, pushed.error());
+    return;
+  }
+  this->ScheduleExpiry();
+}
+
+void DatabaseDispatcher::ScheduleExpiry()
+{
+  if (this->expiryScheduled) {
+    return;
+  }
+  this->expiryScheduled = true;
+  this->loop.Post([weak = this->weak_from_this()](Instant aNow) {
+    const auto self = weak.lock();
+    if (!self) {
+      return;
+    }
+    self->loop.Schedule(aNow + kExpiryInterval, [weak](Instant aLater) {
+      if (const auto dispatcher = weak.lock()) {
+        dispatcher->expiryScheduled = false;
+        dispatcher->RefuseExpired(aLater);
+      }
+    });
+  });
+}
+
+void DatabaseDispatcher::RefuseExpired(Instant aNow)
+{
+  std::vector<std::shared_ptr<Operation>> expired = this->primaryQueue.TakeExpired(aNow);
+  for (auto& [address, server] : this->servers) {
+    for (std::shared_ptr<Operation>& operation : server.queue.TakeExpired(aNow)) {
+      expired.push_back(std::move(operation));
+    }
+    this->Pump(aNow, address);
+  }
+  for (const std::shared_ptr<Operation>& operation : expired) {
+    operation->refuse(aNow,
+                      { Verdict::NotRun,
+                        Reason::DeadlineExceeded,
+                        "no connection became free before the deadline" });
+  }
+  if (this->QueuedOperations() > 0) {
+    this->ScheduleExpiry();
+  }
+}
+
+void DatabaseDispatcher::Pump(Instant aNow, const ServerAddress& aServer)
+{
+  const auto found = this->servers.find(aServer);
+  if (found == this->servers.end()) {
+    return;
+  }
+  Server& server = found->second;
+  const bool leads = aServer == this->primary.server;
+  // Work that was queued for a server as a replica is done by it as the primary just as well.
+  for (Queue* queue : { leads ? &this->primaryQueue : &server.queue, &server.queue }) {
+    while (queue->size() > 0) {
+      const std::shared_ptr<ConnectionLease> lease = server.pool->TryAcquire(aNow);
+      if (!lease) {
+        return;
+      }
+      const std::optional<std::shared_ptr<Operation>> operation = queue->Pop(aNow);
+      if (!operation) {
+        break;
+      }
+      (*operation)->run(aNow, lease);
+    }
+  }
+}
+
+ReadPlan DatabaseDispatcher::PlanRead(Instant aNow,
+                                      const SessionToken& aToken,
+                                      Duration aFreshness,
+                                      Instant aDeadline,
+                                      const std::set<ServerAddress>& aExcluded)
+{
+  ReadRequirement requirement;
+  requirement.floor = aToken.FloorFor(this->group.name);
+  requirement.mustReadAtPrimary = aToken.MustReadAtPrimary(this->group.name);
+  requirement.term = this->primary.term;
+  requirement.deadline = aDeadline;
+  const std::optional<LogPosition> fresh = this->freshness.FloorFor(aFreshness, aNow);
+  if (fresh) {
+    requirement.floor = std::max(requirement.floor, *fresh);
+  } else {
+    requirement.mustReadAtPrimary = true;
+  }
+  const auto leading = this->servers.find(this->primary.server);
+  if (leading != this->servers.end()) {
+    requirement.primary = this->primary.server;
+  }
+  std::vector<ReplicaView> views;
+  for (const auto& [address, server] : this->servers) {
+    if (address == this->primary.server || aExcluded.contains(address)) {
+      continue;
+    }
+    views.push_back(server.view);
+    views.back().outstanding =
+      server.pool->BusyConnections() + static_cast<std::uint32_t>(server.queue.size());
+  }
+  return this->router.Plan(requirement, views, aNow, this->generator);
+}
+
+bool DatabaseDispatcher::MayPassOn(const ServerAddress& aServer,
+                                   const database::v1::Answer& aAnswer,
+                                   LogPosition aFloor) const
+{
+  const auto found = this->servers.find(aServer);
+  if (found == this->servers.end()) {
+    return false;
+  }
+  ReplicaView view = found->second.view;
+  view.acceptedTerm = aAnswer.accepted_term();
+  view.position = PositionOf(aAnswer.position());
+  return view.IsReadableIn(this->primary.term) && view.history.Holds(view.position, aFloor);
+}
+
+void DatabaseDispatcher::ObserveAnswer(Instant aNow,
+                                       const ServerAddress& aServer,
+                                       Instant aSentAt,
+                                       const Outcome<database::v1::Answer>& aAnswer)
+{
+  const auto found = this->servers.find(aServer);
+  if (found == this->servers.end()) {
+    return;
+  }
+  ReplicaView& view = found->second.view;
+  if (!aAnswer) {
+    ++view.consecutiveFailures;
+    view.lastFailure = aNow;
+    return;
+  }
+  view.consecutiveFailures = 0;
+  // A position of a term that the known history lacks is judged once a report brought the history.
+  if (aSentAt >= view.observedAt && aAnswer->accepted_term() >= view.acceptedTerm) {
+    view.observedAt = aSentAt;
+    view.acceptedTerm = aAnswer->accepted_term();
+    view.position = PositionOf(aAnswer->position());
+  }
+}
+
+void DatabaseDispatcher::WaitForPosition(Instant aNow,
+                                         const ServerAddress& aServer,
+                                         LogPosition aPosition,
+                                         Duration aBound,
+                                         ServerConnection::AnswerCallback aCallback)
+{
+  database::v1::Request request;
+  request.set_term(this->primary.term);
+  database::v1::WaitForPosition* wait = request.mutable_wait();
+  wait->mutable_position()->set_term(aPosition.term);
+  wait->mutable_position()->set_offset(aPosition.offset);
+  const auto bound = std::chrono::duration_cast<std::chrono::milliseconds>(aBound);
+  wait->set_timeout_ms(static_cast<std::uint32_t>(std::max<std::int64_t>(bound.count(), 0)));
+  this->ServerOf(aServer).pool->SendShared(
+    aNow, std::move(request), aBound + kAnswerAllowance, std::move(aCallback));
+}
+
+void DatabaseDispatcher::ConfirmMajority(Instant aNow,
+                                         LogPosition aPosition,
+                                         Instant aDeadline,
+                                         ConfirmCallback aCallback)
+{
+  auto confirmation = std::make_shared<Confirmation>();
+  confirmation->position = aPosition;
+  confirmation->deadline = aDeadline;
+  confirmation->started = aNow;
+  confirmation->callback = std::move(aCallback);
+  this->loop.Schedule(aDeadline, [confirmation](Instant aLater) {
+    confirmation->Finish(
+      aLater,
+      RefuseMayHaveRun(Reason::NotAcknowledged,
+                       "no majority of the database's servers held the write before the deadline"));
+  });
+  for (const auto& [address, server] : this->servers) {
+    if (address != this->primary.server) {
+      this->AskReplica(aNow, confirmation, address);
+    }
+  }
+}
+
+void DatabaseDispatcher::AskReplica(Instant aNow,
+                                    const std::shared_ptr<Confirmation>& aConfirmation,
+                                    const ServerAddress& aServer)
+{
+  if (aConfirmation->isDone || aNow >= aConfirmation->deadline) {
+    return;
+  }
+  const Duration bound = std::min(kConfirmWait, aConfirmation->deadline - aNow);
+  this->WaitForPosition(
+    aNow,
+    aServer,
+    aConfirmation->position,
+    bound,
+    [weak = this->weak_from_this(), aConfirmation, aServer, sentAt = aNow](
+      Instant aLater, const Outcome<database::v1::Answer>& aAnswer) {
+      const auto self = weak.lock();
+      if (!self || aConfirmation->isDone) {
+        return;
+      }
+      self->ObserveAnswer(aLater, aServer, sentAt, aAnswer);
+      if (aAnswer && aAnswer->accepted_term() > aConfirmation->position.term) {
+        aConfirmation->Finish(
+          aLater,
+          RefuseMayHaveRun(Reason::WrongTerm, "the database's primary was replaced meanwhile"));
+        return;
+      }
+      const bool holds = aAnswer && aAnswer->status() == database::v1::ANSWER_STATUS_OK &&
+                         aAnswer->accepted_term() == aConfirmation->position.term &&
+                         PositionOf(aAnswer->position()) >= aConfirmation->position;
+      if (holds) {
+        self->ObserveConfirmed(aConfirmation->started, aConfirmation->position);
+        aConfirmation->Finish(aLater, {});
+        return;
+      }
+      self->loop.Schedule(aLater + kConfirmRetryPause,
+                          [weak, aConfirmation, aServer](Instant aRetry) {
+                            if (const auto dispatcher = weak.lock()) {
+                              dispatcher->AskReplica(aRetry, aConfirmation, aServer);
+                            }
+                          });
+    });
+}
+
+void DatabaseDispatcher::LookUpRequest(const RequestId& aRequest,
+                                       Duration aTimeout,
+                                       LookUpCallback aCallback)
+{
+  const auto found = this->servers.find(this->primary.server);
+  if (found == this->servers.end()) {
+    this->loop.Post([callback = std::move(aCallback)](Instant aNow) {
+      callback(aNow, RefuseNotRun(Reason::NoPrimary, "the database has no known primary"));
+    });
+    return;
+  }
+  found->second.client->LookUpRequest(
+    aRequest,
+    aTimeout,
+    [&eventLoop = this->loop, callback = std::move(aCallback)](
+      const Outcome<database::v1::LookUpRequestResponse>& aResponse) {
+      eventLoop.Post([callback, aResponse](Instant aNow) { callback(aNow, aResponse); });
+    });
+}
+
+std::size_t DatabaseDispatcher::QueuedOperations() const
+{
+  std::size_t count = this->primaryQueue.size();
+  for (const auto& [address, server] : this->servers) {
+    count += server.queue.size();
+  }
+  return count;
+}
+
+unsigned DatabaseDispatcher::OpenConnections() const
+{
+  unsigned count = 0;
+  for (const auto& [address, server] : this->servers) {
+    count += server.pool->OpenConnections();
+  }
+  return count;
+}
+
+DatabaseDispatcher::Server& DatabaseDispatcher::ServerOf(const ServerAddress& aAddress)
+{
+  const auto found = this->servers.find(aAddress);
+  MUSTARDSHIFT_ASSERT(found != this->servers.end());
+  return found->second;
+}
+
+} // namespace mustardshift
