--- /dev/null
+++ b/packages/core/session/TermHistory.cpp
@@ -0,0 +1,51 @@
+#include "core/session/TermHistory.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace mustardshift {
+
+TermHistory::TermHistory(std::vector<TermStart> aStarts)
+  : starts(std::move(aStarts))
+{
+  std::erase_if(this->starts, [](const TermStart& aStart) { return aStart.term == 0; });
+  const auto isBefore = [](const TermStart& aLeft, const TermStart& aRight) {
+    return aLeft.term != aRight.term ? aLeft.term < aRight.term
+                                     : aLeft.firstOffset < aRight.firstOffset;
+  };
+  std::sort(this->starts.begin(), this->starts.end(), isBefore);
+  const auto isSameTerm = [](const TermStart& aLeft, const TermStart& aRight) {
+    return aLeft.term == aRight.term;
+  };
+  this->starts.erase(std::unique(this->starts.begin(), this->starts.end(), isSameTerm),
+                     this->starts.end());
+}
+
+bool TermHistory::Holds(LogPosition aServer, LogPosition aFloor) const
+{
+  if (aFloor.offset == 0) {
+    return true;
+  }
+  if (aServer.term < aFloor.term || aServer.offset < aFloor.offset) {
+    return false;
+  }
+  if (aServer.term == aFloor.term) {
+    return true;
+  }
+  const auto isBelow = [](const TermStart& aStart, std::uint64_t aTerm) {
+    return aStart.term < aTerm;
+  };
+  const auto floorTerm =
+    std::lower_bound(this->starts.begin(), this->starts.end(), aFloor.term, isBelow);
+  const auto serverTerm = std::lower_bound(floorTerm, this->starts.end(), aServer.term, isBelow);
+  if (floorTerm == this->starts.end() || floorTerm->term != aFloor.term ||
+      serverTerm == this->starts.end() || serverTerm->term != aServer.term) {
+    return false;
+  }
+  // Any later term may have cut the log, so the lowest start up to the server's term counts.
+  return std::all_of(std::next(floorTerm), std::next(serverTerm), [&](const TermStart& aStart) {
+    return aFloor.offset < aStart.firstOffset;
+  });
+}
+
+} // namespace mustardshift
