Test session tokens, term histories and the CBOR parser

Cause: the session package landed without tests. Change: comparisons over ended terms, codec round trips, every single-bit flip and truncation of a token, random bytes, and the bound on listed databases. ctest passes RapidCheck a fixed seed, so that a failure repeats.

--- a/cmake/MustardshiftPackage.cmake
+++ b/cmake/MustardshiftPackage.cmake
@@ -14,4 +14,6 @@
   mustardshift_warnings(${name})
   target_link_libraries(${name} PRIVATE mustardshift_test_support ${TEST_LIBRARIES})
   add_test(NAME ${name} COMMAND ${name} --known-red=${PROJECT_SOURCE_DIR}/KNOWN-RED.txt)
+  # RapidCheck draws a new seed for each run otherwise, and a failure in CI would not repeat.
+  set_tests_properties(${name} PROPERTIES ENVIRONMENT "RC_PARAMS=seed=20261204")
 endfunction()
--- /dev/null
+++ b/packages/core/tests/SessionTokenTest.cpp
@@ -0,0 +1,266 @@
+#include "core/session/SessionToken.h"
+#include "core/base/BoundedCbor.h"
+#include "core/session/SessionTokenCodec.h"
+#include "core/session/TermHistory.h"
+#include "support/Section.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <cstdint>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace mustardshift {
+
+using test::Section;
+
+namespace {
+
+const std::string kSecret(64, 'a');
+const OrganisationName kOrganisation("harbour");
+
+/** A token of arbitrary content. */
+SessionToken ArbitraryToken()
+{
+  SessionToken token(*rc::gen::map(rc::gen::string<std::string>(), [](std::string aText) {
+    return OrganisationName(aText.substr(0, 64));
+  }));
+  const auto count = *rc::gen::inRange(0, 24);
+  for (int i = 0; i < count; ++i) {
+    const DatabaseName database("database-" + std::to_string(*rc::gen::inRange(0, 20)));
+    const LogPosition position{ *rc::gen::arbitrary<std::uint64_t>(),
+                                *rc::gen::arbitrary<std::uint64_t>() };
+    if (*rc::gen::arbitrary<bool>()) {
+      token.ObserveWrite(database, position);
+    } else {
+      token.ObserveRead(database, position);
+    }
+  }
+  return token;
+}
+
+Reason ReasonOf(const Outcome<SessionToken>& aOutcome)
+{
+  CPPUNIT_ASSERT(!aOutcome.has_value());
+  CPPUNIT_ASSERT(aOutcome.error().verdict == Verdict::NotRun);
+  return aOutcome.error().reason;
+}
+
+} // namespace
+
+/** Guards against tokens that lose a position (the session would read old data), that a client can
+    alter or use for another organisation, and against bytes that crash the decoder. */
+class SessionTokenTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(SessionTokenTest);
+  CPPUNIT_TEST(ComparesPositionsOfEndedTerms);
+  CPPUNIT_TEST(OnlyRaisesPositions);
+  CPPUNIT_TEST(SendsDroppedDatabasesToThePrimary);
+  CPPUNIT_TEST(SurvivesTheRoundTrip);
+  CPPUNIT_TEST(RefusesForeignAndAlteredTokens);
+  CPPUNIT_TEST(RefusesMutatedBytes);
+  CPPUNIT_TEST(StaysWithinTheLengthLimit);
+  CPPUNIT_TEST(BoundsCborStructure);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void ComparesPositionsOfEndedTerms()
+  {
+    const TermHistory history({ { 7, 90 }, { 1, 1 }, { 4, 50 }, { 8, 80 } });
+    Section("an empty floor requires nothing", [&] {
+      CPPUNIT_ASSERT(history.Holds({ 0, 0 }, { 0, 0 }));
+      CPPUNIT_ASSERT(history.Holds({ 1, 3 }, { 4, 0 }));
+    });
+    Section("within a term the offsets count", [&] {
+      CPPUNIT_ASSERT(history.Holds({ 4, 60 }, { 4, 60 }));
+      CPPUNIT_ASSERT(!history.Holds({ 4, 59 }, { 4, 60 }));
+    });
+    Section("a lower term never holds a floor of a higher one", [&] {
+      CPPUNIT_ASSERT(!history.Holds({ 4, 1000 }, { 7, 95 }));
+    });
+    Section("an ended term counts up to the start of the next", [&] {
+      CPPUNIT_ASSERT(history.Holds({ 7, 100 }, { 4, 89 }));
+      CPPUNIT_ASSERT(!history.Holds({ 7, 100 }, { 4, 90 }));
+      CPPUNIT_ASSERT(!history.Holds({ 7, 85 }, { 4, 86 }));
+    });
+    Section("a later term that cut deeper counts too", [&] {
+      CPPUNIT_ASSERT(history.Holds({ 8, 200 }, { 4, 79 }));
+      CPPUNIT_ASSERT(!history.Holds({ 8, 200 }, { 4, 80 }));
+    });
+    Section("a term that the history lacks shows nothing", [&] {
+      CPPUNIT_ASSERT(!history.Holds({ 7, 100 }, { 5, 60 }));
+      CPPUNIT_ASSERT(!history.Holds({ 9, 100 }, { 4, 60 }));
+    });
+  }
+
+  void OnlyRaisesPositions()
+  {
+    const DatabaseName database("bookings");
+    SessionToken token(kOrganisation);
+    CPPUNIT_ASSERT(token.FloorFor(database) == LogPosition{});
+    token.ObserveWrite(database, { 2, 10 });
+    token.ObserveRead(database, { 2, 7 });
+    CPPUNIT_ASSERT((token.FloorFor(database) == LogPosition{ 2, 10 }));
+    token.ObserveWrite(database, { 1, 99 });
+    CPPUNIT_ASSERT((token.FloorFor(database) == LogPosition{ 2, 10 }));
+    token.ObserveRead(database, { 3, 8 });
+    CPPUNIT_ASSERT((token.FloorFor(database) == LogPosition{ 3, 8 }));
+    CPPUNIT_ASSERT((token.Databases().front().write == LogPosition{ 2, 10 }));
+  }
+
+  void SendsDroppedDatabasesToThePrimary()
+  {
+    const bool holds = rc::check("a database is listed, unseen or bound to the primary", [] {
+      SessionToken token(kOrganisation);
+      std::vector<LogPosition> seen(24);
+      const auto count = *rc::gen::inRange(0, 60);
+      for (int i = 1; i <= count; ++i) {
+        const auto which = *rc::gen::inRange<std::size_t>(0, seen.size());
+        seen[which] = { 1, static_cast<std::uint64_t>(i) };
+        token.ObserveRead(DatabaseName(std::to_string(which)), seen[which]);
+      }
+      RC_ASSERT(token.Databases().size() <= SessionToken::kMaximumDatabases);
+      for (std::size_t which = 0; which < seen.size(); ++which) {
+        const DatabaseName name(std::to_string(which));
+        RC_ASSERT(token.MustReadAtPrimary(name) || token.FloorFor(name) == seen[which]);
+      }
+    });
+    CPPUNIT_ASSERT(holds);
+  }
+
+  void SurvivesTheRoundTrip()
+  {
+    const bool holds = rc::check("decoding returns what was encoded", [] {
+      const SessionTokenCodec codec(kSecret);
+      const SessionToken token = ArbitraryToken();
+      const std::string bytes = codec.Encode(token);
+      RC_ASSERT(bytes.size() <= SessionTokenCodec::kMaximumBytes);
+      const Outcome<SessionToken> decoded = codec.Decode(bytes, token.Organisation());
+      RC_ASSERT(decoded.has_value());
+      RC_ASSERT(*decoded == token);
+    });
+    CPPUNIT_ASSERT(holds);
+  }
+
+  void RefusesForeignAndAlteredTokens()
+  {
+    const SessionTokenCodec codec(kSecret);
+    SessionToken token(kOrganisation);
+    token.ObserveWrite(DatabaseName("bookings"), { 3, 141 });
+    const std::string bytes = codec.Encode(token);
+    Section("an empty token starts a session", [&] {
+      const Outcome<SessionToken> decoded = codec.Decode("", kOrganisation);
+      CPPUNIT_ASSERT(decoded.has_value());
+      CPPUNIT_ASSERT(*decoded == SessionToken(kOrganisation));
+    });
+    Section("another organisation can't use the token", [&] {
+      CPPUNIT_ASSERT(ReasonOf(codec.Decode(bytes, OrganisationName("quay"))) ==
+                     Reason::OrganisationMismatch);
+      CPPUNIT_ASSERT(ReasonOf(codec.Decode(bytes, OrganisationName())) ==
+                     Reason::OrganisationMismatch);
+    });
+    Section("a token of a public route is bound to public routes", [&] {
+      const std::string open = codec.Encode(SessionToken());
+      CPPUNIT_ASSERT(codec.Decode(open, OrganisationName()).has_value());
+      CPPUNIT_ASSERT(ReasonOf(codec.Decode(open, kOrganisation)) == Reason::OrganisationMismatch);
+    });
+    Section("a token made under another secret is refused", [&] {
+      const SessionTokenCodec other(std::string(64, 'b'));
+      CPPUNIT_ASSERT(ReasonOf(other.Decode(bytes, kOrganisation)) == Reason::TokenInvalid);
+    });
+    Section("an over-long token is refused", [&] {
+      const std::string tooLong(SessionTokenCodec::kMaximumBytes + 1, '\1');
+      CPPUNIT_ASSERT(ReasonOf(codec.Decode(tooLong, kOrganisation)) == Reason::TokenInvalid);
+    });
+  }
+
+  void RefusesMutatedBytes()
+  {
+    const SessionTokenCodec codec(kSecret);
+    SessionToken token(kOrganisation);
+    token.ObserveWrite(DatabaseName("bookings"), { 3, 141 });
+    token.ObserveRead(DatabaseName("invoices"), { 1ULL << 40U, 59 });
+    const std::string bytes = codec.Encode(token);
+    Section("every flipped bit is noticed", [&] {
+      for (std::size_t bit = 0; bit < 8 * bytes.size(); ++bit) {
+        std::string mutated = bytes;
+        mutated[bit / 8] = static_cast<char>(mutated[bit / 8] ^ (1 << (bit % 8)));
+        CPPUNIT_ASSERT(ReasonOf(codec.Decode(mutated, kOrganisation)) == Reason::TokenInvalid);
+      }
+    });
+    Section("every truncation is noticed", [&] {
+      for (std::size_t length = 1; length < bytes.size(); ++length) {
+        CPPUNIT_ASSERT(ReasonOf(codec.Decode(bytes.substr(0, length), kOrganisation)) ==
+                       Reason::TokenInvalid);
+      }
+      CPPUNIT_ASSERT(ReasonOf(codec.Decode(bytes + '\0', kOrganisation)) == Reason::TokenInvalid);
+    });
+    Section("random bytes are refused", [&] {
+      std::mt19937_64 random(20261204);
+      for (int round = 0; round < 5000; ++round) {
+        std::string noise(1 + random() % 300, '\0');
+        for (char& byte : noise) {
+          byte = static_cast<char>(random());
+        }
+        noise[0] = '\1';
+        CPPUNIT_ASSERT(ReasonOf(codec.Decode(noise, kOrganisation)) == Reason::TokenInvalid);
+      }
+    });
+  }
+
+  void StaysWithinTheLengthLimit()
+  {
+    const SessionTokenCodec codec(kSecret);
+    SessionToken token(kOrganisation);
+    const auto name = [](int aNumber) {
+      return DatabaseName(std::string(300, 'd') + std::to_string(aNumber));
+    };
+    for (int i = 0; i < 10; ++i) {
+      token.ObserveRead(name(i), { ~0ULL, ~0ULL });
+    }
+    const Outcome<SessionToken> decoded = codec.Decode(codec.Encode(token), kOrganisation);
+    CPPUNIT_ASSERT(decoded.has_value());
+    CPPUNIT_ASSERT(decoded->MustReadAtPrimary(name(0)));
+    CPPUNIT_ASSERT((decoded->FloorFor(name(9)) == LogPosition{ ~0ULL, ~0ULL }));
+
+    SessionToken full{ OrganisationName(std::string(64, 'o')) };
+    for (std::size_t i = 0; i < SessionToken::kMaximumDatabases; ++i) {
+      const DatabaseName database(std::string(64, static_cast<char>('a' + i)));
+      full.ObserveWrite(database, { ~0ULL, ~0ULL });
+      full.ObserveRead(database, { ~0ULL, ~0ULL });
+    }
+    const Outcome<SessionToken> whole = codec.Decode(codec.Encode(full), full.Organisation());
+    CPPUNIT_ASSERT(whole.has_value());
+    CPPUNIT_ASSERT(*whole == full);
+  }
+
+  void BoundsCborStructure()
+  {
+    Section("deep nesting is refused without recursion", [] {
+      CPPUNIT_ASSERT(!ParseBoundedCbor(std::string(std::size_t{ 1 } << 22U, '\x81')));
+    });
+    Section("nested indefinite strings are refused", [] {
+      CPPUNIT_ASSERT(!ParseBoundedCbor(std::string(std::size_t{ 1 } << 22U, '\x7f')));
+    });
+    Section("a count beyond the input is refused", [] {
+      CPPUNIT_ASSERT(!ParseBoundedCbor(std::string("\x9b\xff\xff\xff\xff\xff\xff\xff\xff", 9)));
+      CPPUNIT_ASSERT(!ParseBoundedCbor(std::string("\xbb\x80\x00\x00\x00\x00\x00\x00\x00", 9)));
+    });
+    Section("random bytes never crash the parser", [] {
+      std::mt19937_64 random(7);
+      for (int round = 0; round < 200000; ++round) {
+        std::string noise(1 + random() % 24, '\0');
+        for (char& byte : noise) {
+          byte = static_cast<char>(random());
+        }
+        ParseBoundedCbor(noise);
+      }
+    });
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(SessionTokenTest);
+
+} // namespace mustardshift
