--- a/packages/adapters/settings/YamlMap.cpp
+++ b/packages/adapters/settings/YamlMap.cpp
@@ -15,7 +15,6 @@
 namespace {
 
 constexpr std::size_t kMaximumFileSize = 4u << 20;
-constexpr std::size_t kMaximumListSize = 10'000;
 constexpr std::size_t kMaximumTextSize = 4096;
 constexpr std::size_t kMaximumIdentifierSize = 64;
 
@@ -412,7 +411,9 @@
   return *span;
 }
 
-std::vector<YAML::Node> YamlMap::List(const std::string& aKey, bool aRequired)
+std::vector<YAML::Node> YamlMap::List(const std::string& aKey,
+                                      bool aRequired,
+                                      std::size_t aMaximumSize)
 {
   if (!this->Has(aKey)) {
     if (aRequired && this->isMap) {
@@ -425,10 +426,10 @@
     this->Report(aKey, "is " + std::string(KindOf(list)) + ", expected a list");
     return {};
   }
-  if (list.size() > kMaximumListSize) {
+  if (list.size() > aMaximumSize) {
     this->Report(aKey,
                  "has " + std::to_string(list.size()) + " entries, expected at most " +
-                   std::to_string(kMaximumListSize));
+                   std::to_string(aMaximumSize));
     return {};
   }
   std::vector<YAML::Node> nodes;
--- a/packages/adapters/settings/YamlMap.h
+++ b/packages/adapters/settings/YamlMap.h
@@ -68,9 +68,11 @@
   /** Reads a span of time with its unit, such as 250ms, 2s, 500us or 0s. */
   Duration Span(const std::string& aKey, Duration aLow, Duration aHigh, Duration aFallback);
 
-  /** Reads a list of at most 10,000 entries. A missing list is empty; a required one is
-      reported. */
-  std::vector<YAML::Node> List(const std::string& aKey, bool aRequired);
+  /** Reads a list. A missing list is empty; a required one is reported. The bound on the number
+      of entries keeps YAML aliases from multiplying a small file into a large one. */
+  std::vector<YAML::Node> List(const std::string& aKey,
+                               bool aRequired,
+                               std::size_t aMaximumSize = 10'000);
 
   /** Returns the value of a key, or an undefined node. */
   YAML::Node Value(const std::string& aKey) const;
