Add the token bucket and the fair queue

Cause: admission needs a bucket whose rate and capacity change without creating tokens; the slots of a server need a queue that one large organisation can't fill for the others. Change: core/rate/TokenBucket, core/queueing/FairQueue. Conclusion: both can be used; refusals of the queue are QueueFull, NotRun.

--- a/packages/core/mustardshift_core.h
+++ b/packages/core/mustardshift_core.h
@@ -10,4 +10,6 @@
 #include "core/base/NameTable.h"
 #include "core/base/Names.h"
 #include "core/base/Outcome.h"
+#include "core/queueing/FairQueue.h"
+#include "core/rate/TokenBucket.h"
 #include "core/session/LogPosition.h"
--- /dev/null
+++ b/packages/core/queueing/FairQueue.h
@@ -0,0 +1,184 @@
+#pragma once
+
+#include "core/base/Assert.h"
+#include "core/base/Instant.h"
+#include "core/base/Names.h"
+#include "core/base/Outcome.h"
+
+#include <algorithm>
+#include <cstddef>
+#include <iterator>
+#include <list>
+#include <map>
+#include <optional>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace mustardshift {
+
+/** Bounded queue that serves organisations by deficit round robin: while several organisations
+    have items waiting, each gets turns in proportion to its weight, whatever the others push. An
+    organisation without waiting items collects no credit. Items of one organisation stay in order.
+
+    Thread safety: none; one thread owns the queue. */
+template<class Item>
+class FairQueue
+{
+public:
+  /** Preconditions: both limits > 0.
+
+      @param aLimitPerOrganisation  most items of one organisation.
+      @param aLimit                 most items of all organisations together; items whose deadline
+                                    passed count until TakeExpired() returned them. */
+  FairQueue(std::size_t aLimitPerOrganisation, std::size_t aLimit)
+    : limitPerOrganisation(aLimitPerOrganisation)
+    , limit(aLimit)
+  {
+    MUSTARDSHIFT_ASSERT(aLimitPerOrganisation > 0 && aLimit > 0);
+  }
+
+  // Iterators into the queue's own lists make a copy wrong.
+  FairQueue(const FairQueue&) = delete;
+  FairQueue& operator=(const FairQueue&) = delete;
+  FairQueue(FairQueue&&) noexcept = default;
+  FairQueue& operator=(FairQueue&&) noexcept = default;
+  ~FairQueue() = default;
+
+  /** Sets an organisation's weight; 1 unless set, and zero counts as 1. Takes effect with the
+      organisation's next turn. */
+  void SetWeight(const OrganisationName& aOrganisation, unsigned aWeight)
+  {
+    this->weights[aOrganisation] = std::max(1U, aWeight);
+  }
+
+  /** Adds an item that is of no use from aDeadline on. When the queue is full, for the
+      organisation or in total, the item is dropped and the refusal is QueueFull, NotRun. */
+  Outcome<void> Push(const OrganisationName& aOrganisation, Item aItem, Instant aDeadline)
+  {
+    if (this->size() >= this->limit) {
+      return RefuseNotRun(Reason::QueueFull, "the queue is full");
+    }
+    if (this->SizeOf(aOrganisation) >= this->limitPerOrganisation) {
+      return RefuseNotRun(Reason::QueueFull, "the organisation's part of the queue is full");
+    }
+    auto [line, isNew] = this->lines.try_emplace(aOrganisation);
+    if (isNew) {
+      this->turns.push_back(aOrganisation);
+    }
+    std::list<Entry>& entries = line->second.entries;
+    entries.push_back({ std::move(aItem), {} });
+    const auto entry = std::prev(entries.end());
+    entry->deadline = this->deadlines.emplace(aDeadline, Place{ aOrganisation, entry });
+    return {};
+  }
+
+  /** Takes the next item whose deadline is later than aNow, or nothing. */
+  std::optional<Item> Pop(Instant aNow)
+  {
+    this->SetExpiredApart(aNow);
+    if (this->turns.empty()) {
+      return std::nullopt;
+    }
+    const OrganisationName organisation = this->turns.front();
+    Line& line = this->lines.at(organisation);
+    if (line.deficit == 0) {
+      line.deficit = this->WeightOf(organisation);
+    }
+    --line.deficit;
+    this->deadlines.erase(line.entries.front().deadline);
+    Item item = std::move(line.entries.front().item);
+    line.entries.pop_front();
+    if (line.entries.empty()) {
+      this->Forget(organisation);
+    } else if (line.deficit == 0) {
+      this->turns.splice(this->turns.end(), this->turns, this->turns.begin());
+    }
+    return item;
+  }
+
+  /** Takes all items whose deadline is aNow or earlier; the caller refuses them with
+      DeadlineExceeded, NotRun. */
+  std::vector<Item> TakeExpired(Instant aNow)
+  {
+    this->SetExpiredApart(aNow);
+    return std::exchange(this->expired, {});
+  }
+
+  /** Returns the earliest deadline of the waiting items, or nothing when none waits. */
+  std::optional<Instant> NextDeadline() const
+  {
+    if (this->deadlines.empty()) {
+      return std::nullopt;
+    }
+    return this->deadlines.begin()->first;
+  }
+
+  /** Items in the queue, including those that wait for TakeExpired(). */
+  std::size_t size() const { return this->deadlines.size() + this->expired.size(); }
+
+  /** Items of one organisation that wait for Pop(). */
+  std::size_t SizeOf(const OrganisationName& aOrganisation) const
+  {
+    const auto line = this->lines.find(aOrganisation);
+    return line == this->lines.end() ? 0 : line->second.entries.size();
+  }
+
+private:
+  struct Entry;
+  struct Place
+  {
+    OrganisationName organisation;
+    typename std::list<Entry>::iterator entry;
+  };
+  using Deadlines = std::multimap<Instant, Place>;
+  struct Entry
+  {
+    Item item;
+    typename Deadlines::iterator deadline;
+  };
+  struct Line
+  {
+    std::list<Entry> entries;
+    /** Items that the organisation may still send in its present turn. */
+    unsigned deficit = 0;
+  };
+
+  unsigned WeightOf(const OrganisationName& aOrganisation) const
+  {
+    const auto weight = this->weights.find(aOrganisation);
+    return weight == this->weights.end() ? 1 : weight->second;
+  }
+
+  void SetExpiredApart(Instant aNow)
+  {
+    while (!this->deadlines.empty() && this->deadlines.begin()->first <= aNow) {
+      const Place place = this->deadlines.begin()->second;
+      this->deadlines.erase(this->deadlines.begin());
+      this->expired.push_back(std::move(place.entry->item));
+      std::list<Entry>& entries = this->lines.at(place.organisation).entries;
+      entries.erase(place.entry);
+      if (entries.empty()) {
+        this->Forget(place.organisation);
+      }
+    }
+  }
+
+  /** Drops an organisation without items, and its unused deficit with it. */
+  void Forget(const OrganisationName& aOrganisation)
+  {
+    this->lines.erase(aOrganisation);
+    this->turns.remove(aOrganisation);
+  }
+
+  std::size_t limitPerOrganisation;
+  std::size_t limit;
+  std::unordered_map<OrganisationName, unsigned> weights;
+  std::unordered_map<OrganisationName, Line> lines;
+  /** Organisations that have items, in order of their turns. */
+  std::list<OrganisationName> turns;
+  Deadlines deadlines;
+  std::vector<Item> expired;
+};
+
+} // namespace mustardshift
--- /dev/null
+++ b/packages/core/tests/TokenBucketTest.cpp
@@ -0,0 +1,105 @@
+#include "core/rate/TokenBucket.h"
+#include "support/Section.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <random>
+
+namespace mustardshift {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using test::Section;
+
+/** Guards against tokens that appear from nothing: by a change of rate or capacity, by a clock
+    that goes backwards, or by rounding. Each would admit more than rate and burst allow. */
+class TokenBucketTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(TokenBucketTest);
+  CPPUNIT_TEST(FillsAtItsRateUpToItsCapacity);
+  CPPUNIT_TEST(CreatesNoTokensByChanges);
+  CPPUNIT_TEST(NamesTheMomentOfTheNextToken);
+  CPPUNIT_TEST(StaysWithinRateAndBurstInSeededHistories);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void FillsAtItsRateUpToItsCapacity()
+  {
+    const Instant start{ seconds(100) };
+    TokenBucket bucket(10, 5, 0, start);
+    Section("a new bucket has no more than it is given",
+            [&] { CPPUNIT_ASSERT(!bucket.TryTake(start)); });
+    Section("it fills at its rate", [&] {
+      CPPUNIT_ASSERT(bucket.TryTake(start + milliseconds(100)));
+      CPPUNIT_ASSERT(!bucket.TryTake(start + milliseconds(150)));
+    });
+    Section("it holds no more than its capacity", [&] {
+      bucket.Refill(start + seconds(60));
+      CPPUNIT_ASSERT_DOUBLES_EQUAL(5.0, bucket.Tokens(), 1e-9);
+    });
+    Section("a time that goes backwards adds nothing, not even when it catches up", [&] {
+      CPPUNIT_ASSERT(bucket.TryTake(start + seconds(60), 5));
+      bucket.Refill(start);
+      bucket.Refill(start + seconds(60));
+      CPPUNIT_ASSERT_DOUBLES_EQUAL(0.0, bucket.Tokens(), 1e-9);
+    });
+  }
+
+  void CreatesNoTokensByChanges()
+  {
+    const Instant start{ seconds(100) };
+    TokenBucket bucket(10, 5, 3, start);
+    bucket.Change(start, 1000, 500);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(3.0, bucket.Tokens(), 1e-9);
+    bucket.Change(start, 10, 1);
+    bucket.Change(start, 10, 5);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(1.0, bucket.Tokens(), 1e-9);
+    Section("the time before a change counts at the old rate", [&] {
+      bucket.Change(start + milliseconds(100), 1000, 500);
+      CPPUNIT_ASSERT_DOUBLES_EQUAL(2.0, bucket.Tokens(), 1e-9);
+    });
+  }
+
+  void NamesTheMomentOfTheNextToken()
+  {
+    const Instant start{ seconds(100) };
+    TokenBucket bucket(10, 5, 0.5, start);
+    const auto moment = bucket.TimeOf(start, 1);
+    CPPUNIT_ASSERT(moment.has_value());
+    CPPUNIT_ASSERT(bucket.TryTake(*moment));
+    CPPUNIT_ASSERT(!bucket.TimeOf(start, 6).has_value());
+    bucket.Change(start, 0, 5);
+    CPPUNIT_ASSERT(!bucket.TimeOf(start, 1).has_value());
+  }
+
+  void StaysWithinRateAndBurstInSeededHistories()
+  {
+    for (std::uint64_t seed = 1; seed <= 2000; ++seed) {
+      std::mt19937_64 random(seed);
+      Instant now{ seconds(100) };
+      double rate = 10;
+      TokenBucket bucket(rate, 5, 5, now);
+      double allowed = 5;
+      double taken = 0;
+      for (int step = 0; step < 200; ++step) {
+        const Duration passed(static_cast<std::int64_t>(random() % 200'000));
+        now += passed;
+        allowed += rate * std::chrono::duration<double>(passed).count();
+        if (random() % 10 == 0) {
+          rate = static_cast<double>(random() % 50);
+          bucket.Change(now, rate, static_cast<double>(random() % 20));
+        }
+        const Instant asked = random() % 10 == 0 ? now - seconds(1) : now;
+        taken += bucket.TryTake(asked) ? 1 : 0;
+      }
+      CPPUNIT_ASSERT(taken <= allowed + 1e-6);
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TokenBucketTest);
+
+} // namespace mustardshift
