Add leases of quota shards

Cause: the cell's rate and connections are divided into shards that VMs hold under leases, in rows of the platform's table.

--- /dev/null
+++ b/packages/core/lease/QuotaShardRow.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "core/base/Instant.h"
+#include "core/base/Names.h"
+#include "core/lease/QuotaShard.h"
+
+#include <cstdint>
+
+namespace mustardshift {
+
+/** A shard's row in the platform's table, as one VM has observed it. */
+struct QuotaShardRow
+{
+  QuotaShardId shard;
+  /** Empty when the shard is free. */
+  VmId holder;
+  std::uint64_t incarnation = 0;
+  /** Number of the write that made this version, unique within the holder's incarnation. */
+  std::uint64_t operation = 0;
+  /** Version of the row; zero when there is no such row yet. */
+  std::uint64_t version = 0;
+  /** When this VM first learned of this version. Set by QuotaShardHolder. */
+  Instant firstObserved{};
+};
+
+} // namespace mustardshift
