Add the quota of an organisation on one VM and its loans

Cause: a VM that gets most of an organisation's requests needs more than its shards' part of the rate, without the sum ever passing rate and burst. Loans are whole units of the organisation's quota; a loan that is still needed is extended rather than ended and lent again.

--- /dev/null
+++ b/packages/core/rate/OrganisationQuota.cpp
@@ -0,0 +1,393 @@
+#include "core/rate/OrganisationQuota.h"
+
+#include "core/base/Assert.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <utility>
+
+namespace mustardshift {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/** Smaller loans are not worth their messages. */
+constexpr QuotaUnits kSmallestLoan = kQuotaUnitsPerShard / 100;
+/** Loans that would be shorter, because a lease ends soon, are not made. */
+constexpr Duration kShortestLoan = milliseconds(1000);
+/** An extension is asked for when less than this is left of a loan: early enough for three more
+    attempts after a lost message. */
+constexpr Duration kExtendBefore = milliseconds(1500);
+constexpr Duration kExtensionPause = milliseconds(400);
+/** A peer that hasn't answered is asked again after this. */
+constexpr Duration kAnswerPause = milliseconds(300);
+/** Limits of the pause, doubled each time, before a peer that has nothing to lend is asked again.
+ */
+constexpr Duration kShortestRefusalPause = milliseconds(200);
+constexpr Duration kLongestRefusalPause = milliseconds(4000);
+/** Waiting requests look for tokens at least this often, since a loan can bring some any time. */
+constexpr Duration kWaitStep = milliseconds(25);
+/** No wait is shorter, so that rounding can't make a caller spin. */
+constexpr Duration kShortestWait = milliseconds(1);
+/** A request that asks late at the end of its wait still keeps its place. */
+constexpr Duration kLateAsk = milliseconds(20);
+/** Quota is held for this multiple of the demand, so that chance variations find tokens. */
+constexpr double kHeadroom = 1.15;
+/** A lender keeps one part in this many of its shards, for the first requests that reach it. */
+constexpr QuotaUnits kFloorDivisor = 20;
+/** Demand below this, in requests per second, is none. */
+constexpr double kNoDemand = 0.05;
+
+tl::unexpected<Refusal> RefuseRate()
+{
+  return RefuseNotRun(Reason::RateExceeded, "the organisation's rate is exhausted");
+}
+
+} // namespace
+
+OrganisationQuota::OrganisationQuota(OrganisationName aOrganisation,
+                                     VmId aSelf,
+                                     std::uint64_t aIncarnation,
+                                     double aRate,
+                                     double aBurst)
+  : organisation(std::move(aOrganisation))
+  , self(std::move(aSelf))
+  , incarnation(aIncarnation)
+  , rate(aRate)
+  , burst(aBurst)
+{
+  MUSTARDSHIFT_ASSERT(aRate >= 0 && aBurst >= 0);
+}
+
+void OrganisationQuota::Configure(Instant aNow, double aRate, double aBurst)
+{
+  MUSTARDSHIFT_ASSERT(aRate >= 0 && aBurst >= 0);
+  const Instant now = this->Settle(aNow);
+  this->rate = aRate;
+  this->burst = aBurst;
+  this->ApplyUnits(now);
+}
+
+void OrganisationQuota::SetShards(Instant aNow, const std::vector<HeldQuotaShard>& aShards)
+{
+  const Instant now = this->Settle(aNow);
+  // Losses come first, so that a shard gained at the same time can't keep their tokens.
+  std::erase_if(this->shards, [&](const HeldQuotaShard& aOld) {
+    return std::none_of(aShards.begin(), aShards.end(), [&](const HeldQuotaShard& aNew) {
+      return aNew.shard == aOld.shard;
+    });
+  });
+  this->ApplyUnits(now);
+  this->shards = aShards;
+  std::erase_if(this->shards, [&](const HeldQuotaShard& aHeld) { return aHeld.deadline <= now; });
+  this->ApplyUnits(now);
+  this->FindNextChange();
+}
+
+Outcome<Admission> OrganisationQuota::Admit(Instant aNow)
+{
+  const Instant now = this->Settle(aNow);
+  this->demand.Ask(now);
+  this->DropEndedWaits(now);
+  const auto ahead = static_cast<double>(this->waiting.size());
+  if (this->bucket.Tokens() >= ahead + 1 && this->bucket.TryTake(now)) {
+    return Admission{ true, now, 0 };
+  }
+  if (this->burst < 1) {
+    return RefuseRate();
+  }
+  // Loans can raise this VM's rate up to the whole rate, but not higher.
+  const double bestRate = this->unitsInForce < kQuotaUnitsTotal ? this->rate : this->bucket.Rate();
+  const double boundSeconds = std::chrono::duration<double>(kAdmissionWaitBound).count();
+  if (ahead + 1 - this->bucket.Tokens() > bestRate * boundSeconds) {
+    return RefuseRate();
+  }
+  const std::uint64_t ticket = this->firstTicket + this->waiting.size();
+  this->waiting.push_back({ true, now + kAdmissionWaitBound });
+  return this->Offer(now, ticket, now + kAdmissionWaitBound);
+}
+
+Outcome<Admission> OrganisationQuota::AdmitWaiting(Instant aNow, const Admission& aAdmission)
+{
+  const Instant now = this->Settle(aNow);
+  this->DropEndedWaits(now);
+  Waiter* waiter = this->FindWaiter(aAdmission.ticket);
+  if (waiter == nullptr || !waiter->isWaiting) {
+    return RefuseRate();
+  }
+  const auto ahead = static_cast<double>(aAdmission.ticket - this->firstTicket);
+  if (this->bucket.Tokens() >= ahead + 1 && this->bucket.TryTake(now)) {
+    waiter->isWaiting = false;
+    return Admission{ true, now, aAdmission.ticket };
+  }
+  if (now >= waiter->until) {
+    waiter->isWaiting = false;
+    return RefuseRate();
+  }
+  return this->Offer(now, aAdmission.ticket, waiter->until);
+}
+
+void OrganisationQuota::Abandon(const Admission& aAdmission)
+{
+  if (Waiter* waiter = this->FindWaiter(aAdmission.ticket)) {
+    waiter->isWaiting = false;
+  }
+}
+
+QuotaLoanGrant OrganisationQuota::Lend(Instant aNow, const QuotaLoanRequest& aRequest)
+{
+  const Instant now = this->Settle(aNow);
+  QuotaLoanGrant grant;
+  grant.organisation = this->organisation;
+  grant.loan.lender = this->self;
+  grant.loan.lenderIncarnation = this->incarnation;
+  grant.borrower = aRequest.borrower;
+  grant.borrowerIncarnation = aRequest.borrowerIncarnation;
+  grant.requestNumber = aRequest.number;
+  grant.isExtension = aRequest.extends.has_value();
+  if (aRequest.extends) {
+    grant.loan = *aRequest.extends;
+  }
+  if (aRequest.organisation != this->organisation || aRequest.borrower == this->self ||
+      grant.loan.lender != this->self || grant.loan.lenderIncarnation != this->incarnation ||
+      this->shards.empty()) {
+    return grant;
+  }
+
+  // The loan, with drift, ends before any of this VM's leases does: from then on another VM may
+  // hold the shard that backs it.
+  const Duration untilLease = this->EarliestLease() - now;
+  const Duration duration =
+    std::min(kQuotaLoanDuration, (untilLease - Duration(2)) * 100 / 101 - Duration(1));
+  if (duration < kShortestLoan) {
+    return grant;
+  }
+  const Instant returnsAt = now + WithDrift(duration);
+  MUSTARDSHIFT_ASSERT(returnsAt <= this->EarliestLease());
+  const QuotaUnits spare = this->SpareUnits(now);
+
+  if (aRequest.extends) {
+    const QuotaLoanBook::Lent* loan = this->loans.FindExtended(aRequest);
+    if (loan == nullptr) {
+      return grant;
+    }
+    const QuotaUnits units = std::min({ loan->units, loan->units + spare, aRequest.units });
+    if (units < kSmallestLoan) {
+      return grant;
+    }
+    this->loans.Extend(aRequest, units, returnsAt);
+    this->FindNextChange();
+    grant.units = units;
+    grant.duration = duration;
+    return grant;
+  }
+
+  const QuotaUnits units = std::min(aRequest.units, spare);
+  if (units < kSmallestLoan) {
+    return grant;
+  }
+  const auto number = this->loans.Lend(aRequest, units, returnsAt);
+  if (!number) {
+    return grant;
+  }
+  const double tokensBefore = this->bucket.Tokens();
+  this->ApplyUnits(now);
+  this->FindNextChange();
+  grant.loan.number = *number;
+  grant.units = units;
+  grant.tokens = tokensBefore - this->bucket.Tokens();
+  grant.duration = duration;
+  return grant;
+}
+
+bool OrganisationQuota::Borrow(Instant aNow, const QuotaLoanGrant& aGrant, Instant aRequestSent)
+{
+  if (aGrant.organisation != this->organisation || aGrant.borrower != this->self ||
+      aGrant.borrowerIncarnation != this->incarnation || aGrant.loan.lender == this->self) {
+    return false;
+  }
+  const Instant now = this->Settle(aNow);
+  if (!aGrant.isExtension) {
+    PeerState& peer = this->peers[aGrant.loan.lender];
+    if (aGrant.units > 0) {
+      peer = {};
+    } else {
+      peer.pause = std::clamp(peer.pause * 2, kShortestRefusalPause, kLongestRefusalPause);
+      peer.askAgainAt = now + peer.pause;
+    }
+  }
+  if (!this->loans.Borrow(now, aGrant, aRequestSent)) {
+    return false;
+  }
+  this->ApplyUnits(now);
+  if (!aGrant.isExtension) {
+    this->bucket.Add(std::max(0.0, aGrant.tokens));
+  }
+  this->FindNextChange();
+  return true;
+}
+
+std::vector<QuotaLoanRequest> OrganisationQuota::PlanRequests(Instant aNow,
+                                                              const std::vector<VmId>& aPeers)
+{
+  const Instant now = this->Settle(aNow);
+  std::vector<QuotaLoanRequest> requests;
+  const auto add = [&](const VmId& aLender, QuotaUnits aUnits, std::optional<QuotaLoanId> aLoan) {
+    requests.push_back({ this->organisation,
+                         aLender,
+                         this->self,
+                         this->incarnation,
+                         ++this->lastRequest,
+                         aUnits,
+                         std::move(aLoan) });
+  };
+
+  const QuotaUnits needed = this->NeededUnits(now);
+  QuotaUnits covered = this->OwnUnits();
+  for (const QuotaLoanBook::Borrowed& loan : this->loans.BorrowedLoans()) {
+    if (covered >= needed) {
+      break;
+    }
+    covered += loan.units;
+    if (loan.deadline - now < kExtendBefore && loan.askExtensionAt <= now) {
+      add(loan.loan.lender, loan.units, loan.loan);
+      this->loans.PauseExtension(loan.loan, now + kExtensionPause);
+    }
+  }
+
+  const QuotaUnits missing = needed - this->unitsInForce;
+  if (missing < kSmallestLoan) {
+    return requests;
+  }
+  std::vector<VmId> lenders;
+  for (const VmId& peer : aPeers) {
+    if (peer != this->self && this->peers[peer].askAgainAt <= now) {
+      lenders.push_back(peer);
+    }
+  }
+  if (lenders.empty()) {
+    return requests;
+  }
+  const QuotaUnits each =
+    std::max(kSmallestLoan, missing / static_cast<QuotaUnits>(lenders.size()) + 1);
+  for (const VmId& lender : lenders) {
+    this->peers[lender].askAgainAt = now + kAnswerPause;
+    add(lender, each, std::nullopt);
+  }
+  return requests;
+}
+
+QuotaUnits OrganisationQuota::Units(Instant aNow)
+{
+  this->Settle(aNow);
+  return this->unitsInForce;
+}
+
+double OrganisationQuota::Tokens(Instant aNow)
+{
+  this->Settle(aNow);
+  return this->bucket.Tokens();
+}
+
+Instant OrganisationQuota::Settle(Instant aNow)
+{
+  this->latest = std::max(this->latest, aNow);
+  while (this->nextChange <= this->latest) {
+    const Instant at = this->nextChange;
+    this->loans.Settle(at);
+    std::erase_if(this->shards, [&](const HeldQuotaShard& aHeld) { return aHeld.deadline <= at; });
+    this->ApplyUnits(at);
+    this->FindNextChange();
+  }
+  this->bucket.Refill(this->latest);
+  return this->latest;
+}
+
+void OrganisationQuota::ApplyUnits(Instant aNow)
+{
+  const QuotaUnits units = this->OwnUnits() + this->loans.BorrowedUnits();
+  this->bucket.Refill(aNow);
+  if (units < this->unitsInForce) {
+    const double lostPart =
+      static_cast<double>(this->unitsInForce - units) / static_cast<double>(this->unitsInForce);
+    this->bucket.Remove(this->bucket.Tokens() * lostPart);
+  }
+  this->unitsInForce = units;
+  const double part = static_cast<double>(units) / static_cast<double>(kQuotaUnitsTotal);
+  this->bucket.Change(aNow, this->rate * part, this->burst * part);
+}
+
+void OrganisationQuota::FindNextChange()
+{
+  this->nextChange = this->loans.NextChange().value_or(Instant::max());
+  for (const HeldQuotaShard& held : this->shards) {
+    this->nextChange = std::min(this->nextChange, held.deadline);
+  }
+}
+
+QuotaUnits OrganisationQuota::OwnUnits() const
+{
+  const auto held = static_cast<QuotaUnits>(this->shards.size()) * kQuotaUnitsPerShard;
+  // More is lent than held for a while after a shard was withdrawn.
+  return std::max<QuotaUnits>(0, held - this->loans.LentUnits());
+}
+
+QuotaUnits OrganisationQuota::NeededUnits(Instant aNow) const
+{
+  const double asked = this->demand.Rate(aNow);
+  if (asked < kNoDemand || this->rate <= 0 || this->burst < 1) {
+    return 0;
+  }
+  // With a small burst, a VM's part may hold less than the one token that a request needs.
+  const double part = std::max(asked * kHeadroom / this->rate, 1.05 / this->burst);
+  return static_cast<QuotaUnits>(std::min(1.0, part) * static_cast<double>(kQuotaUnitsTotal));
+}
+
+QuotaUnits OrganisationQuota::SpareUnits(Instant aNow) const
+{
+  const auto held = static_cast<QuotaUnits>(this->shards.size()) * kQuotaUnitsPerShard;
+  return held - this->loans.LentUnits() - std::max(held / kFloorDivisor, this->NeededUnits(aNow));
+}
+
+Instant OrganisationQuota::EarliestLease() const
+{
+  Instant earliest = Instant::max();
+  for (const HeldQuotaShard& held : this->shards) {
+    earliest = std::min(earliest, held.deadline);
+  }
+  return earliest;
+}
+
+void OrganisationQuota::DropEndedWaits(Instant aNow)
+{
+  while (!this->waiting.empty() &&
+         (!this->waiting.front().isWaiting || this->waiting.front().until + kLateAsk < aNow)) {
+    this->waiting.pop_front();
+    ++this->firstTicket;
+  }
+}
+
+Outcome<Admission> OrganisationQuota::Offer(Instant aNow, std::uint64_t aTicket, Instant aUntil)
+{
+  Instant next = aNow + kWaitStep;
+  const double missing =
+    static_cast<double>(aTicket - this->firstTicket) + 1 - this->bucket.Tokens();
+  const double seconds = this->bucket.Rate() > 0 ? missing / this->bucket.Rate() : 1.0;
+  if (seconds < std::chrono::duration<double>(kWaitStep).count()) {
+    next = aNow + Duration(static_cast<Duration::rep>(std::ceil(seconds * 1e6)) + 1);
+  }
+  next = std::min(std::max(next, aNow + kShortestWait), std::max(aUntil, aNow + kShortestWait));
+  return Admission{ false, next, aTicket };
+}
+
+OrganisationQuota::Waiter* OrganisationQuota::FindWaiter(std::uint64_t aTicket)
+{
+  if (aTicket < this->firstTicket || aTicket - this->firstTicket >= this->waiting.size()) {
+    return nullptr;
+  }
+  return &this->waiting[aTicket - this->firstTicket];
+}
+
+} // namespace mustardshift
--- /dev/null
+++ b/packages/core/rate/QuotaLoanBook.cpp
@@ -0,0 +1,136 @@
+#include "core/rate/QuotaLoanBook.h"
+
+#include "core/base/Assert.h"
+
+#include <algorithm>
+
+namespace mustardshift {
+
+std::optional<std::uint64_t> QuotaLoanBook::Lend(const QuotaLoanRequest& aRequest,
+                                                 QuotaUnits aUnits,
+                                                 Instant aReturnsAt)
+{
+  MUSTARDSHIFT_ASSERT(aUnits > 0);
+  if (this->lent.size() >= kMaximumLoans) {
+    return std::nullopt;
+  }
+  for (const Lent& loan : this->lent) {
+    if (loan.borrower == aRequest.borrower &&
+        loan.borrowerIncarnation == aRequest.borrowerIncarnation &&
+        loan.requestNumber == aRequest.number) {
+      return std::nullopt;
+    }
+  }
+  const std::uint64_t number = ++this->lastNumber;
+  this->lent.push_back({ number,
+                         aRequest.borrower,
+                         aRequest.borrowerIncarnation,
+                         aRequest.number,
+                         aUnits,
+                         aReturnsAt });
+  this->Sum();
+  return number;
+}
+
+const QuotaLoanBook::Lent* QuotaLoanBook::FindExtended(const QuotaLoanRequest& aRequest) const
+{
+  if (!aRequest.extends) {
+    return nullptr;
+  }
+  for (const Lent& loan : this->lent) {
+    if (loan.number == aRequest.extends->number && loan.borrower == aRequest.borrower &&
+        loan.borrowerIncarnation == aRequest.borrowerIncarnation) {
+      return &loan;
+    }
+  }
+  return nullptr;
+}
+
+void QuotaLoanBook::Extend(const QuotaLoanRequest& aRequest, QuotaUnits aUnits, Instant aReturnsAt)
+{
+  const Lent* found = this->FindExtended(aRequest);
+  MUSTARDSHIFT_ASSERT(found != nullptr && aUnits > 0 && aUnits <= found->units);
+  Lent& loan = this->lent[static_cast<std::size_t>(found - this->lent.data())];
+  if (aUnits < loan.units) {
+    // The borrower may not learn of the smaller loan, so the rest stays lent for the old term.
+    // Number zero: no request can extend it.
+    Lent rest = loan;
+    rest.number = 0;
+    rest.units = loan.units - aUnits;
+    loan.units = aUnits;
+    loan.returnsAt = std::max(loan.returnsAt, aReturnsAt);
+    this->lent.push_back(rest);
+  } else {
+    loan.returnsAt = std::max(loan.returnsAt, aReturnsAt);
+  }
+  this->Sum();
+}
+
+bool QuotaLoanBook::Borrow(Instant aNow, const QuotaLoanGrant& aGrant, Instant aRequestSent)
+{
+  const Instant deadline = aRequestSent + std::min(aGrant.duration, kQuotaLoanDuration);
+  if (aGrant.units <= 0 || deadline <= aNow) {
+    return false;
+  }
+  const auto known = std::find_if(this->borrowed.begin(),
+                                  this->borrowed.end(),
+                                  [&](const Borrowed& aLoan) { return aLoan.loan == aGrant.loan; });
+  if (aGrant.isExtension) {
+    if (known == this->borrowed.end() || aRequestSent <= known->requestSent) {
+      return false;
+    }
+    known->units = std::min(known->units, aGrant.units);
+    known->deadline = deadline;
+    known->requestSent = aRequestSent;
+    this->Sum();
+    return true;
+  }
+  if (known != this->borrowed.end() || this->borrowed.size() >= kMaximumLoans) {
+    return false;
+  }
+  this->borrowed.push_back({ aGrant.loan, aGrant.units, deadline, aRequestSent, Instant{} });
+  this->Sum();
+  return true;
+}
+
+void QuotaLoanBook::PauseExtension(const QuotaLoanId& aLoan, Instant aUntil)
+{
+  for (Borrowed& loan : this->borrowed) {
+    if (loan.loan == aLoan) {
+      loan.askExtensionAt = aUntil;
+    }
+  }
+}
+
+void QuotaLoanBook::Settle(Instant aNow)
+{
+  std::erase_if(this->lent, [&](const Lent& aLoan) { return aLoan.returnsAt <= aNow; });
+  std::erase_if(this->borrowed, [&](const Borrowed& aLoan) { return aLoan.deadline <= aNow; });
+  this->Sum();
+}
+
+std::optional<Instant> QuotaLoanBook::NextChange() const
+{
+  std::optional<Instant> next;
+  for (const Lent& loan : this->lent) {
+    next = std::min(next.value_or(loan.returnsAt), loan.returnsAt);
+  }
+  for (const Borrowed& loan : this->borrowed) {
+    next = std::min(next.value_or(loan.deadline), loan.deadline);
+  }
+  return next;
+}
+
+void QuotaLoanBook::Sum()
+{
+  this->lentUnits = 0;
+  for (const Lent& loan : this->lent) {
+    this->lentUnits += loan.units;
+  }
+  this->borrowedUnits = 0;
+  for (const Borrowed& loan : this->borrowed) {
+    this->borrowedUnits += loan.units;
+  }
+}
+
+} // namespace mustardshift
