--- a/scripts/generate.sh
+++ b/scripts/generate.sh
@@ -1,6 +1,9 @@
 #!/usr/bin/env bash
-# Generates packages/protocol/generated from packages/protocol/proto.
+# Generates the committed C++ code of the services: packages/protocol/generated and
+# tests/standins/generated, each from the proto folder next to it.
 set -euo pipefail
-cd "$(dirname "$0")/../packages/protocol"
-protoc -I proto --cpp_out=generated --grpc_out=generated \
-  --plugin=protoc-gen-grpc="$(command -v grpc_cpp_plugin)" proto/*.proto
+cd "$(dirname "$0")/.."
+for folder in packages/protocol tests/standins; do
+  protoc -I "$folder/proto" --cpp_out="$folder/generated" --grpc_out="$folder/generated" \
+    --plugin=protoc-gen-grpc="$(command -v grpc_cpp_plugin)" "$folder"/proto/*.proto
+done
