--- /dev/null
+++ b/packages/daemon/control/ConfigurationKeeper.cpp
@@ -0,0 +1,278 @@
+#include "daemon/control/ConfigurationKeeper.h"
+
+#include "adapters/clock/SystemBootClock.h"
+#include "adapters/log/Log.h"
+#include "core/configuration/ApplyChange.h"
+#include "core/configuration/ConfigurationCodec.h"
+#include "daemon/control/PlatformRows.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace mustardshift {
+
+namespace {
+
+constexpr Duration kReadTimeout = std::chrono::milliseconds(800);
+constexpr Duration kCommitTimeout = std::chrono::seconds(1);
+/** Attempts to find out what became of a change whose answer was lost. */
+constexpr int kReadBackAttempts = 5;
+/** Attempts of a change that names no base version, when other changes are faster. */
+constexpr int kRaceAttempts = 5;
+/** Changes that are read from the table at once. */
+constexpr std::uint64_t kChangesPerRead = 100;
+/** A snapshot is written for each version that is a multiple of this. */
+constexpr std::uint64_t kSnapshotInterval = 100;
+
+const Log kLog(Component::Configuration);
+
+} // namespace
+
+ConfigurationKeeper::ConfigurationKeeper(TableClient& aTable,
+                                         ObjectStoreClient& aObjects,
+                                         const RegistrationKeeper& aRegistration,
+                                         Hooks aHooks)
+  : table(aTable)
+  , objects(aObjects)
+  , registration(aRegistration)
+  , hooks(std::move(aHooks))
+{
+}
+
+bool ConfigurationKeeper::Poll()
+{
+  const Instant sent = SystemBootClock{}.Now();
+  const auto rows = this->table.Read({ std::string(kHeadKey) }, kReadTimeout);
+  if (!rows) {
+    return false;
+  }
+  std::uint64_t head = 0;
+  if (!rows->empty()) {
+    const std::optional<std::uint64_t> number = DecodeNumber(rows->front().value);
+    if (!number) {
+      kLog.Error("The head row is malformed.");
+      return false;
+    }
+    head = *number;
+    this->headRowVersion = rows->front().version;
+  }
+  const bool complete = this->CatchUp(head);
+  this->hooks.headRead(sent, head);
+  return complete;
+}
+
+bool ConfigurationKeeper::CatchUp(std::uint64_t aHead)
+{
+  const std::uint64_t before = this->history.Version();
+  if (aHead > before + kChangesPerRead) {
+    this->LoadSnapshot();
+  }
+  bool complete = true;
+  while (complete && this->history.Version() < aHead) {
+    const std::uint64_t first = this->history.Version() + 1;
+    const std::uint64_t last = std::min(aHead, first + kChangesPerRead - 1);
+    std::vector<std::string> keys;
+    for (std::uint64_t version = first; version <= last; ++version) {
+      keys.push_back(ChangeKey(version));
+    }
+    const auto rows = this->table.Read(keys, kReadTimeout);
+    if (!rows) {
+      complete = false;
+      break;
+    }
+    std::map<std::uint64_t, ConfigurationChange> changes;
+    for (const TableRow& row : *rows) {
+      if (auto change = DecodeChange(row.value)) {
+        changes.emplace(change->version, std::move(*change));
+      }
+    }
+    for (std::uint64_t version = first; complete && version <= last; ++version) {
+      const auto change = changes.find(version);
+      complete = change != changes.end() && this->Take(change->second);
+    }
+    if (!complete) {
+      kLog.Error("A change in the table is missing or malformed.");
+    }
+  }
+  if (this->history.Version() > before) {
+    kLog.Info("Version " + std::to_string(this->history.Version()) + " is in force.");
+    this->hooks.changed(this->history.Present());
+  }
+  return complete;
+}
+
+bool ConfigurationKeeper::Take(const ConfigurationChange& aChange)
+{
+  if (!this->history.Accept(aChange)) {
+    return false;
+  }
+  this->operations[aChange.operationId] = aChange.version;
+  return true;
+}
+
+void ConfigurationKeeper::TakePushed(const std::string& aEncodedChange)
+{
+  const auto change = DecodeChange(aEncodedChange);
+  if (change && change->version == this->history.Version() + 1 && this->Take(*change)) {
+    kLog.Info("Version " + std::to_string(change->version) + " is in force, as a peer says.");
+    this->hooks.changed(this->history.Present());
+  }
+}
+
+bool ConfigurationKeeper::LoadSnapshot()
+{
+  const auto rows = this->table.Read({ std::string(kSnapshotKey) }, kReadTimeout);
+  if (!rows || rows->empty()) {
+    return false;
+  }
+  const std::optional<std::uint64_t> version = DecodeNumber(rows->front().value);
+  if (!version || *version <= this->history.Version()) {
+    return false;
+  }
+  const auto content = this->objects.Get(SnapshotName(*version), kReadTimeout);
+  if (!content || !content->has_value()) {
+    return false;
+  }
+  auto configuration = DecodeConfiguration(**content);
+  // An object store may return an older copy under the same name; the version inside decides.
+  if (!configuration || configuration->version != *version) {
+    kLog.Warning("The snapshot is malformed; the changes are read one by one.");
+    return false;
+  }
+  return this->history.AcceptSnapshot(std::move(*configuration)).has_value();
+}
+
+void ConfigurationKeeper::SaveSnapshot()
+{
+  const std::uint64_t version = this->history.Version();
+  const auto saved = this->objects.Put(
+    SnapshotName(version), EncodeConfiguration(*this->history.Present()), kCommitTimeout);
+  if (!saved) {
+    kLog.Warning("The snapshot could not be written; the next one will be.");
+    return;
+  }
+  const auto rows = this->table.Read({ std::string(kSnapshotKey) }, kReadTimeout);
+  if (!rows) {
+    return;
+  }
+  const std::uint64_t rowVersion = rows->empty() ? 0 : rows->front().version;
+  const std::optional<std::uint64_t> present =
+    rows->empty() ? std::optional<std::uint64_t>(0) : DecodeNumber(rows->front().value);
+  if (present && *present >= version) {
+    return;
+  }
+  static_cast<void>(this->table.Commit({ { std::string(kSnapshotKey), rowVersion } },
+                                       { { std::string(kSnapshotKey), EncodeNumber(version) } },
+                                       kCommitTimeout));
+}
+
+AcceptResult ConfigurationKeeper::Result(AcceptStatus aStatus, std::string aMessage) const
+{
+  return { aStatus, this->history.Version(), std::move(aMessage) };
+}
+
+std::optional<AcceptResult> ConfigurationKeeper::FindOperation(
+  const std::string& aOperationId) const
+{
+  const auto found = this->operations.find(aOperationId);
+  if (found == this->operations.end()) {
+    return std::nullopt;
+  }
+  return AcceptResult{ AcceptStatus::Accepted, found->second, "accepted before" };
+}
+
+AcceptResult ConfigurationKeeper::Accept(const ConfigurationAction& aAction,
+                                         std::uint64_t aBaseVersion,
+                                         const std::string& aOperationId)
+{
+  for (int attempt = 0; attempt < kRaceAttempts; ++attempt) {
+    if (!this->Poll()) {
+      return this->Result(AcceptStatus::Unavailable, "the platform is out of reach");
+    }
+    if (const auto earlier = this->FindOperation(aOperationId)) {
+      return *earlier;
+    }
+    const std::uint64_t base = this->history.Version();
+    if (aBaseVersion != 0 && aBaseVersion != base) {
+      return this->Result(AcceptStatus::Conflict,
+                          "the present version is " + std::to_string(base) + ", not " +
+                            std::to_string(aBaseVersion));
+    }
+    const ConfigurationChange change{ base + 1, aOperationId, aAction };
+    const auto applied = ApplyChange(*this->history.Present(), change);
+    if (!applied) {
+      return this->Result(AcceptStatus::Invalid, applied.error().message);
+    }
+    if (!this->hooks.mayAccept()) {
+      return this->Result(AcceptStatus::Unavailable,
+                          "this VM has registered only now, and not all VMs know of it yet");
+    }
+    const std::string encoded = EncodeChange(change);
+    this->hooks.changeSent(base);
+    switch (this->Commit(change, encoded)) {
+      case CommitOutcome::Committed:
+        this->hooks.changeAnswered(base, true);
+        this->CatchUp(base + 1);
+        this->hooks.accepted(base + 1, encoded);
+        if ((base + 1) % kSnapshotInterval == 0) {
+          this->SaveSnapshot();
+        }
+        return { AcceptStatus::Accepted, base + 1, "accepted" };
+      case CommitOutcome::LostRace:
+        this->hooks.changeAnswered(base, false);
+        if (aBaseVersion != 0) {
+          this->Poll();
+          return this->Result(AcceptStatus::Conflict, "another change was accepted first");
+        }
+        break;
+      case CommitOutcome::NotSent:
+        this->hooks.changeAnswered(base, false);
+        return this->Result(AcceptStatus::Unavailable, "the platform is out of reach");
+      case CommitOutcome::Unknown:
+        return this->Result(AcceptStatus::Unknown,
+                            "the platform's answer was lost; repeat the same operation id");
+    }
+  }
+  return this->Result(AcceptStatus::Conflict, "other changes were accepted first");
+}
+
+ConfigurationKeeper::CommitOutcome ConfigurationKeeper::Commit(const ConfigurationChange& aChange,
+                                                               const std::string& aEncoded)
+{
+  const auto committed = this->table.Commit(
+    { { std::string(kHeadKey), this->headRowVersion },
+      { this->registration.Key(), this->registration.RowVersion() } },
+    { { std::string(kHeadKey), EncodeNumber(aChange.version) },
+      { ChangeKey(aChange.version), aEncoded } },
+    kCommitTimeout);
+  if (committed) {
+    return CommitOutcome::Committed;
+  }
+  switch (committed.error().error) {
+    case PlatformError::Conflict:
+      return CommitOutcome::LostRace;
+    case PlatformError::NotReached:
+    case PlatformError::Rejected:
+      return CommitOutcome::NotSent;
+    case PlatformError::AnswerLost:
+      break;
+  }
+  return this->ReadBack(aChange);
+}
+
+ConfigurationKeeper::CommitOutcome ConfigurationKeeper::ReadBack(const ConfigurationChange& aChange)
+{
+  for (int attempt = 0; attempt < kReadBackAttempts; ++attempt) {
+    const auto rows = this->table.Read({ ChangeKey(aChange.version) }, kReadTimeout);
+    if (!rows || rows->empty()) {
+      // No row yet: the commit may still be under way.
+      continue;
+    }
+    const auto present = DecodeChange(rows->front().value);
+    return present && present->operationId == aChange.operationId ? CommitOutcome::Committed
+                                                                  : CommitOutcome::LostRace;
+  }
+  return CommitOutcome::Unknown;
+}
+
+} // namespace mustardshift
--- /dev/null
+++ b/packages/daemon/control/ShardKeeper.cpp
@@ -0,0 +1,101 @@
+#include "daemon/control/ShardKeeper.h"
+
+#include "adapters/clock/SystemBootClock.h"
+#include "adapters/log/Log.h"
+#include "daemon/control/PlatformRows.h"
+
+#include <map>
+#include <utility>
+
+namespace mustardshift {
+
+namespace {
+
+constexpr Duration kTableTimeout = std::chrono::milliseconds(800);
+
+const Log kLog(Component::Quota);
+
+} // namespace
+
+ShardKeeper::ShardKeeper(TableClient& aTable,
+                         VmId aSelf,
+                         std::uint64_t aIncarnation,
+                         ChangeHook aChanged)
+  : table(aTable)
+  , holder(std::move(aSelf), aIncarnation, SystemBootClock{}.Now())
+  , changed(std::move(aChanged))
+{
+}
+
+bool ShardKeeper::ReadRows()
+{
+  const auto rows = this->table.Scan(std::string(kShardPrefix), 0, kTableTimeout);
+  if (!rows) {
+    return false;
+  }
+  const Instant now = SystemBootClock{}.Now();
+  std::map<QuotaShardId, QuotaShardRow> found;
+  for (const TableRow& row : *rows) {
+    if (const std::optional<QuotaShardRow> decoded = DecodeShardRow(row)) {
+      found.emplace(decoded->shard, *decoded);
+    } else {
+      kLog.Error("The row " + row.key + " is malformed.");
+    }
+  }
+  for (unsigned index = 0; index < kQuotaShardsPerCell; ++index) {
+    const QuotaShardId shard{ static_cast<std::uint8_t>(index) };
+    const auto row = found.find(shard);
+    QuotaShardRow absent;
+    absent.shard = shard;
+    this->holder.Observe(now, row == found.end() ? absent : row->second);
+  }
+  return true;
+}
+
+bool ShardKeeper::Poll(Instant aNow,
+                       const std::set<VmId>& aLive,
+                       bool aIsLeaving,
+                       bool aConnectionsAreWithinEntitlement)
+{
+  if (!this->ReadRows()) {
+    return false;
+  }
+  const QuotaShardPlan plan = PlanQuotaShards(
+    aNow, this->holder, aLive, aIsLeaving, aConnectionsAreWithinEntitlement);
+  for (const QuotaShardId shard : plan.withdraw) {
+    this->holder.Withdraw(SystemBootClock{}.Now(), shard);
+  }
+  if (!plan.renew.empty()) {
+    this->Send(this->holder.BeginWrite(SystemBootClock{}.Now(), plan.renew));
+  }
+  for (const QuotaShardId shard : plan.claim) {
+    this->Send(this->holder.BeginWrite(SystemBootClock{}.Now(), { shard }));
+  }
+  this->changed(this->holder);
+  if (!plan.release.empty()) {
+    this->Send(this->holder.BeginRelease(SystemBootClock{}.Now(), plan.release));
+  }
+  return true;
+}
+
+void ShardKeeper::Send(const QuotaShardWrite& aWrite)
+{
+  std::vector<RowPrecondition> preconditions;
+  std::vector<RowWrite> writes;
+  for (const QuotaShardWrite::Change& change : aWrite.changes) {
+    preconditions.push_back({ ShardKey(change.shard), change.expectedVersion });
+    writes.push_back({ ShardKey(change.shard), EncodeShardWrite(aWrite), false });
+  }
+  const auto committed = this->table.Commit(preconditions, writes, kTableTimeout);
+  const Instant now = SystemBootClock{}.Now();
+  if (committed) {
+    this->holder.WriteCommitted(now, aWrite);
+    return;
+  }
+  // After a lost answer, the rows of the next read decide.
+  if (committed.error().error != PlatformError::AnswerLost) {
+    this->holder.WriteRejected(aWrite);
+  }
+}
+
+} // namespace mustardshift
--- /dev/null
+++ b/packages/daemon/main.cpp
@@ -0,0 +1,4 @@
+int main()
+{
+  return 0;
+}
--- a/packages/daemon/request/DatabaseDispatcher.cpp
+++ b/packages/daemon/request/DatabaseDispatcher.cpp
@@ -1,6 +1,7 @@
 #include "daemon/request/DatabaseDispatcher.h"
 
 #include "core/base/Assert.h"
+#include "daemon/request/DatabaseFrames.h"
 
 #include <algorithm>
 #include <functional>
@@ -20,14 +21,11 @@
 constexpr Duration kConfirmRetryPause = std::chrono::milliseconds(20);
 /** Longest wait that one confirmation request asks for; it is repeated until the deadline. */
 constexpr Duration kConfirmWait = std::chrono::seconds(2);
+/** A report that takes longer counts as a failed probe. */
+constexpr Duration kProbeTimeout = std::chrono::milliseconds(400);
 /** Time for an answer to travel, on top of the wait that a request asks for. */
 constexpr Duration kAnswerAllowance = std::chrono::seconds(1);
 
-LogPosition PositionOf(const database::v1::Position& aPosition)
-{
-  return { aPosition.term(), aPosition.offset() };
-}
-
 std::vector<TermStart> HistoryOf(const database::v1::ServerReport& aReport)
 {
   std::vector<TermStart> starts;
@@ -273,7 +271,46 @@
   }
 }
 
-ReadPlan DatabaseDispatcher::PlanRead(Instant aNow,
+void DatabaseDispatcher::Probe(Instant aNow, const ProbeCallback& aCallback)
+{
+  const auto round = std::make_shared<ProbeRound>();
+  round->sentAt = aNow;
+  round->primary = this->primary;
+  for (const auto& [address, server] : this->servers) {
+    server.client->Report(
+      kProbeTimeout,
+      [weak = this->weak_from_this(), &eventLoop = this->loop, server = address, round, aCallback](
+        const Outcome<database::v1::ServerReport>& aReport) {
+        eventLoop.Post([weak, server, round, aCallback, aReport](Instant aLater) {
+          aCallback(aLater, server, aReport);
+          const auto self = weak.lock();
+          if (self && aReport) {
+            self->ObserveReport(aLater, server, round->sentAt, *aReport);
+            self->LearnFromRound(*round, server, *aReport);
+          }
+        });
+      });
+  }
+}
+
+void DatabaseDispatcher::LearnFromRound(ProbeRound& aRound,
+                                        const ServerAddress& aServer,
+                                        const database::v1::ServerReport& aReport)
+{
+  if (aReport.accepted_term() != aRound.primary.term || aRound.primary.term == 0) {
+    return;
+  }
+  if (aServer != aRound.primary.server) {
+    aRound.replicaAgrees = true;
+  } else if (aReport.leads()) {
+    aRound.primaryPosition = PositionOf(aReport.position());
+  }
+  if (aRound.replicaAgrees && aRound.primaryPosition) {
+    this->ObserveConfirmed(aRound.sentAt, *aRound.primaryPosition);
+  }
+}
+
+PlannedRead DatabaseDispatcher::PlanRead(Instant aNow,
                                       const SessionToken& aToken,
                                       Duration aFreshness,
                                       Instant aDeadline,
@@ -303,7 +340,7 @@
     views.back().outstanding =
       server.pool->BusyConnections() + static_cast<std::uint32_t>(server.queue.size());
   }
-  return this->router.Plan(requirement, views, aNow, this->generator);
+  return { this->router.Plan(requirement, views, aNow, this->generator), requirement.floor };
 }
 
 bool DatabaseDispatcher::MayPassOn(const ServerAddress& aServer,
--- a/packages/daemon/request/DatabaseDispatcher.h
+++ b/packages/daemon/request/DatabaseDispatcher.h
@@ -8,6 +8,7 @@
 #include "core/session/SessionToken.h"
 #include "daemon/loop/EventLoop.h"
 #include "daemon/request/GroupPrimary.h"
+#include "daemon/request/PlannedRead.h"
 #include "daemon/request/Operation.h"
 #include "daemon/request/ServerPool.h"
 
@@ -29,6 +30,8 @@
 {
 public:
   using ConfirmCallback = std::function<void(Instant, Outcome<void>)>;
+  using ProbeCallback =
+    std::function<void(Instant, const ServerAddress&, const Outcome<database::v1::ServerReport>&)>;
   using LookUpCallback =
     std::function<void(Instant, Outcome<database::v1::LookUpRequestResponse>)>;
 
@@ -64,9 +67,13 @@
   /** Queues work for one server. */
   void EnqueueAtServer(Instant aNow, const ServerAddress& aServer, Operation aOperation);
 
+  /** Asks each server for its report, to learn positions, histories and the primary's health.
+      @param aCallback  called with each outcome, before the views change. */
+  void Probe(Instant aNow, const ProbeCallback& aCallback);
+
   /** Decides where a read goes.
       @param aExcluded  servers that this read has already failed on. */
-  ReadPlan PlanRead(Instant aNow,
+  PlannedRead PlanRead(Instant aNow,
                     const SessionToken& aToken,
                     Duration aFreshness,
                     Instant aDeadline,
@@ -121,12 +128,23 @@
     Queue queue;
   };
   struct Confirmation;
+  /** Reports to requests that were sent at the same instant. */
+  struct ProbeRound
+  {
+    Instant sentAt{};
+    GroupPrimary primary;
+    std::optional<LogPosition> primaryPosition;
+    bool replicaAgrees = false;
+  };
 
   Server& ServerOf(const ServerAddress& aAddress);
   void Enqueue(Instant aNow, Queue& aQueue, Operation aOperation);
   void Pump(Instant aNow, const ServerAddress& aServer);
   void RefuseExpired(Instant aNow);
   void ScheduleExpiry();
+  void LearnFromRound(ProbeRound& aRound,
+                      const ServerAddress& aServer,
+                      const database::v1::ServerReport& aReport);
   void AskReplica(Instant aNow,
                   const std::shared_ptr<Confirmation>& aConfirmation,
                   const ServerAddress& aServer);
--- /dev/null
+++ b/packages/daemon/request/DatabaseFrames.cpp
@@ -0,0 +1,35 @@
+#include "daemon/request/DatabaseFrames.h"
+
+namespace mustardshift {
+
+database::v1::Request MakeExecuteFrame(std::uint64_t aTerm,
+                                       const Statement& aStatement,
+                                       const RequestId& aRequest,
+                                       bool aIsReadOnly)
+{
+  database::v1::Request frame;
+  frame.set_term(aTerm);
+  database::v1::Execute* execute = frame.mutable_execute();
+  execute->set_statement(aStatement.text);
+  for (const std::string& parameter : aStatement.parameters) {
+    execute->add_parameters(parameter);
+  }
+  execute->set_request_id(aRequest.Text());
+  execute->set_read_only(aIsReadOnly);
+  return frame;
+}
+
+LogPosition PositionOf(const database::v1::Position& aPosition)
+{
+  return { aPosition.term(), aPosition.offset() };
+}
+
+FlowResult ResultOf(const database::v1::Answer& aAnswer)
+{
+  FlowResult result;
+  result.rows.assign(aAnswer.rows().begin(), aAnswer.rows().end());
+  result.position = PositionOf(aAnswer.position());
+  return result;
+}
+
+} // namespace mustardshift
--- /dev/null
+++ b/packages/daemon/request/FlowResult.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "core/base/Instant.h"
+#include "core/base/Outcome.h"
+#include "core/session/LogPosition.h"
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace mustardshift {
+
+/** What a statement that ran returned. */
+struct FlowResult
+{
+  std::vector<std::string> rows;
+  /** Position that the session has seen with it; on a majority of the group. */
+  LogPosition position;
+  bool servedByReplica = false;
+};
+
+/** Called exactly once, on the request loop. */
+using FlowCallback = std::function<void(Instant, Outcome<FlowResult>)>;
+
+} // namespace mustardshift
--- /dev/null
+++ b/packages/daemon/request/ReadFlow.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "core/session/SessionToken.h"
+#include "daemon/request/CallerRequest.h"
+#include "daemon/request/DatabaseDispatcher.h"
+#include "daemon/request/FlowResult.h"
+
+#include <memory>
+#include <optional>
+#include <set>
+
+namespace mustardshift {
+
+/** Runs one read outside of transactions: at a replica that holds what the session and the route
+    require, or at the primary. A read is repeated on other servers until its deadline.
+
+    Thread safety: the request loop's thread only. */
+class ReadFlow : public std::enable_shared_from_this<ReadFlow>
+{
+public:
+  ReadFlow(EventLoop& aLoop,
+           std::shared_ptr<DatabaseDispatcher> aDispatcher,
+           CallerRequest aRequest,
+           OrganisationName aOrganisation,
+           SessionToken aToken,
+           Duration aFreshness,
+           FlowCallback aCallback);
+
+  /** Starts the read. Precondition: called once. */
+  void Start(Instant aNow) { this->Plan(aNow); }
+
+private:
+  void Plan(Instant aNow);
+  void ReadFrom(Instant aNow, const ServerAddress& aServer, bool aIsPrimary);
+  void OnConnection(Instant aNow,
+                    const ServerAddress& aServer,
+                    bool aIsPrimary,
+                    const std::shared_ptr<ConnectionLease>& aLease);
+  void OnAnswer(Instant aNow,
+                const ServerAddress& aServer,
+                bool aIsPrimary,
+                const Outcome<database::v1::Answer>& aAnswer);
+  void PassOn(Instant aNow, FlowResult aResult, bool aIsPrimary);
+  void PlanAgain(Instant aNow, const ServerAddress& aFailed);
+  void PlanLater(Instant aNow);
+  void Refuse(Instant aNow, Refusal aRefusal);
+
+  EventLoop& loop;
+  std::shared_ptr<DatabaseDispatcher> dispatcher;
+  CallerRequest request;
+  OrganisationName organisation;
+  SessionToken token;
+  Duration freshness;
+  FlowCallback callback;
+  LogPosition floor;
+  std::set<ServerAddress> failed;
+};
+
+} // namespace mustardshift
--- /dev/null
+++ b/packages/daemon/request/RequestProcessor.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include "core/configuration/Configuration.h"
+#include "core/configuration/KeyIndex.h"
+#include "core/rate/OrganisationQuotaTable.h"
+#include "core/session/SessionTokenCodec.h"
+#include "daemon/loop/EventLoop.h"
+#include "daemon/request/AuthenticatedRequest.h"
+#include "daemon/request/CallerReply.h"
+#include "daemon/request/CallerRequest.h"
+#include "daemon/request/DatabaseDispatcher.h"
+#include "daemon/request/FlowResult.h"
+#include "daemon/request/ServiceGate.h"
+#include "daemon/request/WorkKind.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace mustardshift {
+
+/** Takes clients' requests from their arrival to their reply: checks them, admits them by their
+    organisation's quota and hands them to their database.
+
+    Thread safety: the request loop's thread only. */
+class RequestProcessor
+{
+public:
+  /** Gets each request's organisation, end and time. */
+  using Observer = std::function<
+    void(const OrganisationName&, const Outcome<CallerAnswer>&, Duration aElapsed)>;
+
+  /** @param aGate  says whether new work may start; see ServiceGate.
+      @param aQuota  the quotas of the organisations. Both have to outlive the processor. */
+  RequestProcessor(EventLoop& aLoop,
+                   std::string aUserAgent,
+                   FailureDomainName aFailureDomain,
+                   ServiceGate& aGate,
+                   OrganisationQuotaTable& aQuota,
+                   Observer aObserver);
+
+  /** Takes over an accepted configuration. */
+  void Configure(Instant aNow, std::shared_ptr<const Configuration> aConfiguration);
+
+  /** Learns the primary of a database. */
+  void SetPrimary(Instant aNow, const DatabaseName& aDatabase, const GroupPrimary& aPrimary);
+
+  /** Runs one statement outside of transactions. aReply is called exactly once. */
+  void Execute(Instant aNow, CallerRequest aRequest, ReplyCallback aReply);
+
+  /** Checks a request up to the point where it needs the quota: gate, route, key, session token.
+   */
+  Outcome<AuthenticatedRequest> Authenticate(Instant aNow,
+                                             const CallerRequest& aRequest,
+                                             WorkKind aKind) const;
+
+  /** Takes a token of the request's organisation, waiting for it if need be. */
+  void Admit(Instant aNow,
+             const AuthenticatedRequest& aRequest,
+             std::function<void(Instant, Outcome<void>)> aCallback);
+
+  /** Adds what a statement has seen to its session, and encodes the token. */
+  std::string EncodeToken(SessionToken aToken) const { return this->codec->Encode(std::move(aToken)); }
+
+  /** Returns the dispatcher of a database, or null. */
+  std::shared_ptr<DatabaseDispatcher> FindDispatcher(const DatabaseName& aDatabase) const;
+  const std::map<DatabaseName, std::shared_ptr<DatabaseDispatcher>>& Dispatchers() const
+  {
+    return this->dispatchers;
+  }
+  const Configuration& Present() const { return *this->configuration; }
+
+  const ServiceGate& Gate() const { return this->gate; }
+
+  /** Requests that have not been replied to. */
+  std::size_t RunningRequests() const { return this->running; }
+
+private:
+  Outcome<void> CheckServing() const;
+  void Run(Instant aNow,
+           const CallerRequest& aRequest,
+           const AuthenticatedRequest& aAuthenticated,
+           const ReplyCallback& aReply);
+  void AdmitWaiting(Instant aNow,
+                    const OrganisationName& aOrganisation,
+                    const Admission& aAdmission,
+                    const std::function<void(Instant, Outcome<void>)>& aCallback);
+  ReplyCallback Observed(Instant aNow, OrganisationName aOrganisation, ReplyCallback aReply);
+  const Route* FindRoute(const RouteName& aName) const;
+
+  EventLoop& loop;
+  std::string userAgent;
+  FailureDomainName failureDomain;
+  ServiceGate& gate;
+  OrganisationQuotaTable& quota;
+  Observer observer;
+  std::shared_ptr<const Configuration> configuration = std::make_shared<Configuration>();
+  KeyIndex keys;
+  std::optional<SessionTokenCodec> codec;
+  std::map<RouteName, const Route*> routes;
+  std::map<DatabaseName, std::shared_ptr<DatabaseDispatcher>> dispatchers;
+  std::map<DatabaseName, GroupPrimary> primaries;
+  std::size_t running = 0;
+};
+
+} // namespace mustardshift
--- /dev/null
+++ b/packages/daemon/request/TransactionTable.cpp
@@ -0,0 +1,394 @@
+#include "daemon/request/TransactionTable.h"
+
+#include "core/base/VerdictTable.h"
+#include "daemon/request/DatabaseFrames.h"
+#include "daemon/request/LostAnswerResolver.h"
+
+#include <algorithm>
+#include <array>
+#include <openssl/rand.h>
+#include <utility>
+
+namespace mustardshift {
+
+namespace {
+
+constexpr Duration kRetryPause = std::chrono::milliseconds(20);
+constexpr std::size_t kIdBytes = 16;
+
+TransactionId MakeTransactionId()
+{
+  std::array<unsigned char, kIdBytes> bytes{};
+  MUSTARDSHIFT_ASSERT(RAND_bytes(bytes.data(), static_cast<int>(bytes.size())) == 1);
+  static constexpr std::string_view kDigits = "0123456789abcdef";
+  std::string text;
+  for (const unsigned char byte : bytes) {
+    text += kDigits[byte >> 4U];
+    text += kDigits[byte & 0xFU];
+  }
+  return TransactionId(text);
+}
+
+} // namespace
+
+struct TransactionTable::Transaction
+{
+  TransactionId id;
+  CallerRequest begin;
+  AuthenticatedRequest context;
+  std::shared_ptr<ConnectionLease> lease;
+  std::uint64_t term = 0;
+  EventLoop::TimerId timer;
+  /** A statement or the end of the transaction is under way. */
+  bool isBusy = false;
+  bool isEnding = false;
+};
+
+TransactionTable::TransactionTable(EventLoop& aLoop,
+                                   RequestProcessor& aProcessor,
+                                   Duration aTimeout)
+  : loop(aLoop)
+  , processor(aProcessor)
+  , timeout(aTimeout)
+{
+}
+
+void TransactionTable::Begin(Instant aNow, CallerRequest aRequest, BeginCallback aReply)
+{
+  Outcome<AuthenticatedRequest> context =
+    this->processor.Authenticate(aNow, aRequest, WorkKind::New);
+  if (!context) {
+    aReply(tl::unexpected<Refusal>(context.error()));
+    return;
+  }
+  const auto transaction = std::make_shared<Transaction>();
+  transaction->id = MakeTransactionId();
+  transaction->begin = std::move(aRequest);
+  transaction->context = std::move(*context);
+  this->processor.Admit(
+    aNow,
+    transaction->context,
+    [this, transaction, reply = std::move(aReply)](Instant aLater, const Outcome<void>& aAdmitted) {
+      if (!aAdmitted) {
+        reply(tl::unexpected<Refusal>(aAdmitted.error()));
+        return;
+      }
+      this->OpenOnConnection(aLater, transaction, reply);
+    });
+}
+
+void TransactionTable::OpenOnConnection(Instant aNow,
+                                        const TransactionPointer& aTransaction,
+                                        const BeginCallback& aReply)
+{
+  Operation operation;
+  operation.organisation = aTransaction->context.organisation;
+  operation.deadline = aTransaction->begin.deadline;
+  operation.run = [this, aTransaction, aReply](Instant aLater,
+                                               const std::shared_ptr<ConnectionLease>& aLease) {
+    aTransaction->lease = aLease;
+    this->SendBegin(aLater, aTransaction, aReply);
+  };
+  operation.refuse = [aReply](Instant /*aLater*/, const Refusal& aRefusal) {
+    aReply(tl::unexpected<Refusal>(aRefusal));
+  };
+  aTransaction->context.dispatcher->EnqueueAtPrimary(aNow, std::move(operation));
+}
+
+void TransactionTable::SendBegin(Instant aNow,
+                                 const TransactionPointer& aTransaction,
+                                 const BeginCallback& aReply)
+{
+  aTransaction->term = aTransaction->context.dispatcher->Primary().term;
+  database::v1::Request frame;
+  frame.set_term(aTransaction->term);
+  frame.mutable_begin();
+  aTransaction->lease->Send(
+    std::move(frame),
+    aTransaction->begin.deadline - aNow,
+    [this, aTransaction, aReply](Instant aLater, const Outcome<database::v1::Answer>& aAnswer) {
+      if (aAnswer && aAnswer->status() == database::v1::ANSWER_STATUS_OK) {
+        this->Register(aLater, aTransaction, aReply);
+        return;
+      }
+      // A connection on which a transaction may be open must not return to the pool.
+      aTransaction->lease->Discard();
+      aTransaction->lease.reset();
+      if (aLater + kRetryPause >= aTransaction->begin.deadline) {
+        aReply(RefuseNotRun(Reason::ConnectionFailed, "the primary did not open a transaction"));
+        return;
+      }
+      this->loop.Schedule(aLater + kRetryPause, [this, aTransaction, aReply](Instant aRetry) {
+        this->OpenOnConnection(aRetry, aTransaction, aReply);
+      });
+    });
+}
+
+void TransactionTable::Register(Instant aNow,
+                                const TransactionPointer& aTransaction,
+                                const BeginCallback& aReply)
+{
+  this->transactions.emplace(aTransaction->id, aTransaction);
+  aTransaction->timer = this->loop.Schedule(
+    aNow + this->timeout,
+    [this, aTransaction](Instant /*aLater*/) { this->OnTimeout(aTransaction); });
+  aReply(aTransaction->id);
+}
+
+Outcome<TransactionTable::TransactionPointer> TransactionTable::Find(
+  Instant aNow,
+  const TransactionId& aId,
+  const CallerRequest& aRequest) const
+{
+  const auto found = this->transactions.find(aId);
+  if (found == this->transactions.end()) {
+    return RefuseNotRun(Reason::TransactionUnknown,
+                        "this VM has no such transaction; it may have timed out");
+  }
+  const TransactionPointer& transaction = found->second;
+  // The key is checked at each statement, so that a withdrawn one stops open transactions, too.
+  CallerRequest check = aRequest;
+  check.route = transaction->begin.route;
+  check.requestId = transaction->begin.requestId;
+  check.sessionToken = transaction->begin.sessionToken;
+  const Outcome<AuthenticatedRequest> context =
+    this->processor.Authenticate(aNow, check, WorkKind::Continued);
+  if (!context) {
+    return tl::unexpected<Refusal>(context.error());
+  }
+  if (transaction->isBusy) {
+    return RefuseNotRun(Reason::RequestMalformed,
+                        "the transaction's previous statement has not been answered");
+  }
+  return transaction;
+}
+
+void TransactionTable::Execute(Instant aNow,
+                               const TransactionId& aId,
+                               const CallerRequest& aRequest,
+                               ReplyCallback aReply)
+{
+  const Outcome<TransactionPointer> transaction = this->Find(aNow, aId, aRequest);
+  if (!transaction) {
+    aReply(tl::unexpected<Refusal>(transaction.error()));
+    return;
+  }
+  (*transaction)->isBusy = true;
+  this->processor.Admit(
+    aNow,
+    (*transaction)->context,
+    [this, open = *transaction, request = aRequest, reply = std::move(aReply)](
+      Instant aLater, const Outcome<void>& aAdmitted) {
+      if (!aAdmitted || !open->lease) {
+        open->isBusy = false;
+        reply(aAdmitted ? RefuseNotRun(Reason::TransactionTimedOut, "the transaction timed out")
+                        : tl::unexpected<Refusal>(aAdmitted.error()));
+        return;
+      }
+      open->lease->Send(
+        MakeExecuteFrame(open->term, request.statement, RequestId(), false),
+        request.deadline - aLater,
+        [this, open, deadline = request.deadline, reply](
+          Instant aAnswered, const Outcome<database::v1::Answer>& aAnswer) {
+          this->OnStatementAnswer(aAnswered, open, deadline, aAnswer, reply);
+        });
+    });
+}
+
+void TransactionTable::OnStatementAnswer(Instant aNow,
+                                         const TransactionPointer& aTransaction,
+                                         Instant aDeadline,
+                                         const Outcome<database::v1::Answer>& aAnswer,
+                                         const ReplyCallback& aReply)
+{
+  aTransaction->isBusy = false;
+  if (!aAnswer) {
+    this->Remove(aTransaction, true);
+    aReply(RefuseNotRun(Reason::ConnectionFailed,
+                        "the transaction's connection was lost; it is rolled back"));
+    return;
+  }
+  switch (aAnswer->status()) {
+    case database::v1::ANSWER_STATUS_OK:
+      break;
+    case database::v1::ANSWER_STATUS_INVALID:
+      aReply(RefuseNotRun(Reason::StatementInvalid, "the database refused the statement"));
+      return;
+    case database::v1::ANSWER_STATUS_CONFLICT:
+      this->Remove(aTransaction, true);
+      aReply(RefuseNotRun(Reason::TransactionConflict, "a concurrent transaction won"));
+      return;
+    default:
+      this->Remove(aTransaction, true);
+      aReply(RefuseNotRun(Reason::WrongTerm, "the primary was replaced; it is rolled back"));
+      return;
+  }
+  const FlowResult result = ResultOf(*aAnswer);
+  if (result.rows.empty()) {
+    aReply(CallerAnswer{});
+    return;
+  }
+  // What the client reads may hold others' writes that are not yet on a majority.
+  aTransaction->isBusy = true;
+  aTransaction->context.dispatcher->ConfirmMajority(
+    aNow,
+    result.position,
+    aDeadline,
+    [this, aTransaction, rows = result.rows, aReply](Instant /*aLater*/,
+                                                     const Outcome<void>& aConfirmed) {
+      aTransaction->isBusy = false;
+      if (!aConfirmed) {
+        this->Remove(aTransaction, true);
+        aReply(RefuseNotRun(aConfirmed.error().reason,
+                            "the data read is not on a majority; the transaction is rolled back"));
+        return;
+      }
+      aReply(CallerAnswer{ rows, "", false });
+    });
+}
+
+void TransactionTable::Commit(Instant aNow,
+                              const TransactionId& aId,
+                              const CallerRequest& aRequest,
+                              ReplyCallback aReply)
+{
+  const Outcome<TransactionPointer> transaction = this->Find(aNow, aId, aRequest);
+  if (!transaction) {
+    aReply(tl::unexpected<Refusal>(transaction.error()));
+    return;
+  }
+  if (aRequest.requestId.IsEmpty()) {
+    aReply(RefuseNotRun(Reason::RequestMalformed, "a commit needs a request id"));
+    return;
+  }
+  (*transaction)->isBusy = true;
+  (*transaction)->isEnding = true;
+  database::v1::Request frame;
+  frame.set_term((*transaction)->term);
+  frame.mutable_commit()->set_request_id(aRequest.requestId.Text());
+  (*transaction)
+    ->lease->Send(std::move(frame),
+                  aRequest.deadline - aNow,
+                  [this, open = *transaction, request = aRequest, reply = std::move(aReply)](
+                    Instant aLater, const Outcome<database::v1::Answer>& aAnswer) {
+                    this->OnCommitAnswer(aLater, open, request, aAnswer, reply);
+                  });
+}
+
+void TransactionTable::OnCommitAnswer(Instant aNow,
+                                      const TransactionPointer& aTransaction,
+                                      const CallerRequest& aRequest,
+                                      const Outcome<database::v1::Answer>& aAnswer,
+                                      const ReplyCallback& aReply)
+{
+  const bool isClean = aAnswer && aAnswer->status() == database::v1::ANSWER_STATUS_OK;
+  this->Remove(aTransaction, !isClean);
+  if (!aAnswer) {
+    if (aAnswer.error().verdict == Verdict::NotRun) {
+      aReply(RefuseNotRun(Reason::ConnectionFailed,
+                          "the transaction's connection was lost; it is rolled back"));
+      return;
+    }
+    this->ResolveCommit(aNow, aTransaction, aRequest, aReply);
+    return;
+  }
+  if (!isClean) {
+    const Reason reason = aAnswer->status() == database::v1::ANSWER_STATUS_CONFLICT
+                            ? Reason::TransactionConflict
+                            : Reason::WrongTerm;
+    aReply(RefuseNotRun(reason, "the database refused the commit; nothing was written"));
+    return;
+  }
+  const FlowResult result = ResultOf(*aAnswer);
+  aTransaction->context.dispatcher->ConfirmMajority(
+    aNow,
+    result.position,
+    aRequest.deadline,
+    [this, aTransaction, aRequest, result, aReply](Instant aLater,
+                                                   const Outcome<void>& aConfirmed) {
+      if (aConfirmed) {
+        this->FinishCommit(aTransaction, result, aReply);
+      } else if (aConfirmed.error().reason == Reason::WrongTerm) {
+        this->ResolveCommit(aLater, aTransaction, aRequest, aReply);
+      } else {
+        aReply(tl::unexpected<Refusal>(aConfirmed.error()));
+      }
+    });
+}
+
+void TransactionTable::ResolveCommit(Instant aNow,
+                                     const TransactionPointer& aTransaction,
+                                     const CallerRequest& aRequest,
+                                     const ReplyCallback& aReply)
+{
+  std::make_shared<LostAnswerResolver>(
+    this->loop,
+    aTransaction->context.dispatcher,
+    aRequest.requestId,
+    aTransaction->term,
+    aRequest.deadline,
+    [this, aTransaction, aReply](Instant /*aLater*/, const Outcome<FlowResult>& aResult) {
+      this->FinishCommit(aTransaction, aResult, aReply);
+    })
+    ->Start(aNow);
+}
+
+void TransactionTable::FinishCommit(const TransactionPointer& aTransaction,
+                                    const Outcome<FlowResult>& aResult,
+                                    const ReplyCallback& aReply)
+{
+  if (!aResult) {
+    aReply(tl::unexpected<Refusal>(aResult.error()));
+    return;
+  }
+  SessionToken token = aTransaction->context.token;
+  token.ObserveWrite(aTransaction->context.route.database, aResult->position);
+  aReply(CallerAnswer{ aResult->rows, this->processor.EncodeToken(std::move(token)), false });
+}
+
+void TransactionTable::Rollback(Instant aNow,
+                                const TransactionId& aId,
+                                const CallerRequest& aRequest,
+                                ReplyCallback aReply)
+{
+  const Outcome<TransactionPointer> transaction = this->Find(aNow, aId, aRequest);
+  if (!transaction) {
+    aReply(tl::unexpected<Refusal>(transaction.error()));
+    return;
+  }
+  (*transaction)->isBusy = true;
+  (*transaction)->isEnding = true;
+  database::v1::Request frame;
+  frame.set_term((*transaction)->term);
+  frame.mutable_rollback();
+  (*transaction)
+    ->lease->Send(std::move(frame),
+                  aRequest.deadline - aNow,
+                  [this, open = *transaction, reply = std::move(aReply)](
+                    Instant /*aLater*/, const Outcome<database::v1::Answer>& aAnswer) {
+                    // Without a clean answer the closed connection makes the server roll back.
+                    const bool isClean =
+                      aAnswer && aAnswer->status() == database::v1::ANSWER_STATUS_OK;
+                    this->Remove(open, !isClean);
+                    reply(CallerAnswer{});
+                  });
+}
+
+void TransactionTable::OnTimeout(const TransactionPointer& aTransaction)
+{
+  if (!aTransaction->isEnding) {
+    this->Remove(aTransaction, true);
+  }
+}
+
+void TransactionTable::Remove(const TransactionPointer& aTransaction, bool aDiscardConnection)
+{
+  this->transactions.erase(aTransaction->id);
+  this->loop.Cancel(aTransaction->timer);
+  if (aTransaction->lease && aDiscardConnection) {
+    aTransaction->lease->Discard();
+  }
+  aTransaction->lease.reset();
+}
+
+} // namespace mustardshift
--- /dev/null
+++ b/packages/daemon/request/WriteFlow.cpp
@@ -0,0 +1,154 @@
+#include "daemon/request/WriteFlow.h"
+
+#include "core/base/VerdictTable.h"
+#include "daemon/request/DatabaseFrames.h"
+#include "daemon/request/LostAnswerResolver.h"
+
+#include <utility>
+
+namespace mustardshift {
+
+namespace {
+
+/** Pause before a write that has not run is tried again. */
+constexpr Duration kRetryPause = std::chrono::milliseconds(20);
+
+} // namespace
+
+WriteFlow::WriteFlow(EventLoop& aLoop,
+                     std::shared_ptr<DatabaseDispatcher> aDispatcher,
+                     CallerRequest aRequest,
+                     OrganisationName aOrganisation,
+                     FlowCallback aCallback)
+  : loop(aLoop)
+  , dispatcher(std::move(aDispatcher))
+  , request(std::move(aRequest))
+  , organisation(std::move(aOrganisation))
+  , callback(std::move(aCallback))
+{
+  this->kind.isRepeatable = this->request.isRepeatable;
+}
+
+void WriteFlow::Attempt(Instant aNow)
+{
+  Operation operation;
+  operation.organisation = this->organisation;
+  operation.deadline = this->request.deadline;
+  operation.run = [self = this->shared_from_this()](
+                    Instant aLater, const std::shared_ptr<ConnectionLease>& aLease) {
+    self->OnConnection(aLater, aLease);
+  };
+  operation.refuse = [self = this->shared_from_this()](Instant aLater, const Refusal& aRefusal) {
+    const Fault fault =
+      aRefusal.reason == Reason::QueueFull ? Fault::QueueFull : Fault::DeadlinePassed;
+    self->Refuse(aLater, RequestStep::Queue, fault);
+  };
+  this->dispatcher->EnqueueAtPrimary(aNow, std::move(operation));
+}
+
+void WriteFlow::AttemptLater(Instant aNow, RequestStep aStep, Fault aFault)
+{
+  if (aNow + kRetryPause >= this->request.deadline) {
+    this->Refuse(aNow, aStep, aFault);
+    return;
+  }
+  this->loop.Schedule(aNow + kRetryPause,
+                      [self = this->shared_from_this()](Instant aLater) { self->Attempt(aLater); });
+}
+
+void WriteFlow::OnConnection(Instant aNow, const std::shared_ptr<ConnectionLease>& aLease)
+{
+  this->sentTerm = this->dispatcher->Primary().term;
+  aLease->Send(
+    MakeExecuteFrame(this->sentTerm, this->request.statement, this->request.requestId, false),
+    this->request.deadline - aNow,
+    [self = this->shared_from_this(), lease = aLease](
+      Instant aLater, const Outcome<database::v1::Answer>& aAnswer) {
+      self->OnAnswer(aLater, aAnswer);
+    });
+}
+
+void WriteFlow::OnAnswer(Instant aNow, const Outcome<database::v1::Answer>& aAnswer)
+{
+  if (!aAnswer) {
+    this->OnNoAnswer(aNow, aAnswer.error());
+    return;
+  }
+  switch (aAnswer->status()) {
+    case database::v1::ANSWER_STATUS_OK:
+      this->Acknowledge(aNow, ResultOf(*aAnswer));
+      return;
+    case database::v1::ANSWER_STATUS_WRONG_TERM:
+      // The server says that nothing ran, so even a non-repeatable statement may go to the new
+      // primary.
+      this->AttemptLater(aNow, RequestStep::AwaitAnswer, Fault::RefusedForTerm);
+      return;
+    case database::v1::ANSWER_STATUS_INVALID:
+      this->Refuse(aNow, RequestStep::AwaitAnswer, Fault::StatementInvalid);
+      return;
+    case database::v1::ANSWER_STATUS_CONFLICT:
+      this->Refuse(aNow, RequestStep::AwaitAnswer, Fault::Conflict);
+      return;
+    default:
+      // An answer that does not say what happened proves nothing.
+      this->kind.mayHaveRunBefore = true;
+      this->LookUp(aNow);
+      return;
+  }
+}
+
+void WriteFlow::OnNoAnswer(Instant aNow, const Refusal& aRefusal)
+{
+  if (aRefusal.verdict == Verdict::NotRun) {
+    if (aRefusal.reason == Reason::StatementInvalid) {
+      this->Refuse(aNow, RequestStep::AwaitAnswer, Fault::StatementInvalid);
+      return;
+    }
+    this->AttemptLater(aNow, RequestStep::Connect, Fault::ConnectionLost);
+    return;
+  }
+  this->kind.mayHaveRunBefore = true;
+  if (this->kind.isRepeatable) {
+    this->AttemptLater(aNow, RequestStep::AwaitAnswer, Fault::AnswerLost);
+    return;
+  }
+  this->LookUp(aNow);
+}
+
+void WriteFlow::Acknowledge(Instant aNow, const FlowResult& aResult)
+{
+  this->dispatcher->ConfirmMajority(
+    aNow,
+    aResult.position,
+    this->request.deadline,
+    [self = this->shared_from_this(), aResult](Instant aLater, const Outcome<void>& aConfirmed) {
+      if (aConfirmed) {
+        self->callback(aLater, aResult);
+        return;
+      }
+      self->kind.mayHaveRunBefore = true;
+      if (aConfirmed.error().reason == Reason::WrongTerm) {
+        self->LookUp(aLater);
+        return;
+      }
+      self->Refuse(aLater, RequestStep::Acknowledge, Fault::MajorityNotConfirmed);
+    });
+}
+
+void WriteFlow::LookUp(Instant aNow)
+{
+  std::make_shared<LostAnswerResolver>(this->loop,
+                                       this->dispatcher,
+                                       this->request.requestId,
+                                       this->sentTerm,
+                                       this->request.deadline,
+                                       this->callback)
+    ->Start(aNow);
+}
+
+void WriteFlow::Refuse(Instant aNow, RequestStep aStep, Fault aFault)
+{
+  this->callback(aNow, tl::unexpected<Refusal>(Resolve(aStep, aFault, this->kind)));
+}
+
+} // namespace mustardshift
