--- /dev/null
+++ b/packages/core/tests/FailoverHistoryTest.cpp
@@ -0,0 +1,224 @@
+#include "FailoverModel.h"
+#include "support/Section.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <iostream>
+#include <string>
+#include <vector>
+
+namespace mustardshift {
+
+using namespace test;
+
+namespace {
+
+constexpr std::uint64_t kSeed = 20261204;
+constexpr Duration kSecond{ 1'000'000 };
+constexpr Duration kBound = 16 * kSecond;
+
+/** Outcome of a history: the first broken property, or empty. */
+struct Result
+{
+  std::string violation;
+  std::size_t acknowledged = 0;
+  std::uint64_t promotions = 0;
+  Duration recovery{ 0 };
+};
+
+/** Random faults for ten seconds; then the group has a majority and the platform again. */
+Result RunHistory(ModelOptions aOptions)
+{
+  std::mt19937_64 random(aOptions.seed * 31 + 7);
+  aOptions.actionFaults = random() % 2 == 0 ? 0.0 : 0.04;
+  aOptions.messageFaults = random() % 2 == 0 ? 0.01 : 0.05;
+  FailoverModel model(aOptions);
+  model.RunUntil(3 * kSecond);
+  while (model.Now() < 13 * kSecond) {
+    model.InjectRandomFault();
+    model.RunUntil(model.Now() + Duration{ static_cast<Duration::rep>(random() % 3'000'000) });
+  }
+  model.Heal(random() % 2 == 0);
+  const Duration healed = model.Now();
+  model.RunUntil(healed + kBound);
+  const auto recovered = model.AcknowledgedAfter(healed);
+  Result result{ model.Violation(), model.AcknowledgedCount(), model.RowTerm(), {} };
+  if (result.violation.empty() && !recovered) {
+    result.violation = "no acknowledged write within 16 s, seed " + std::to_string(aOptions.seed);
+  }
+  result.recovery = recovered.value_or(healed + kBound) - healed;
+  return result;
+}
+
+/** Looks for a history that breaks the property. */
+bool IsCaught(Defect aDefect, const std::string& aProperty, bool aServersRefuseOldTerms = true)
+{
+  for (std::uint64_t seed = 1; seed <= 400; ++seed) {
+    ModelOptions options;
+    options.seed = kSeed + seed;
+    options.defect = aDefect;
+    options.serversRefuseOldTerms = aServersRefuseOldTerms;
+    if (RunHistory(options).violation.starts_with(aProperty)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+void Print(const std::string& aName, std::vector<Duration> aTimes)
+{
+  std::sort(aTimes.begin(), aTimes.end());
+  std::cout << "  " << aName << " median " << aTimes[aTimes.size() / 2].count() / 1000
+            << " ms, worst " << aTimes.back().count() / 1000 << " ms\n";
+}
+
+} // namespace
+
+/** Guards against two primaries in a term, acknowledged writes that a promotion loses, and groups
+    that stay without a primary, under random faults at random steps. */
+class FailoverHistoryTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(FailoverHistoryTest);
+  CPPUNIT_TEST(KeepsEveryPropertyUnderRandomFaults);
+  CPPUNIT_TEST(KeepsEveryPropertyWithServersThatServeOldTerms);
+  CPPUNIT_TEST(KeepsEveryPropertyWithManyVms);
+  CPPUNIT_TEST(ReplacesALostPrimaryInTime);
+  CPPUNIT_TEST(KeepsThePrimaryOfAPartitionedVm);
+  CPPUNIT_TEST(CheckersCatchBrokenVariants);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void KeepsEveryPropertyUnderRandomFaults() { this->RunHistories(1200, 9, true); }
+  void KeepsEveryPropertyWithServersThatServeOldTerms() { this->RunHistories(600, 9, false); }
+
+  void KeepsEveryPropertyWithManyVms()
+  {
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+      ModelOptions options;
+      options.seed = kSeed + seed;
+      options.vms = 200;
+      CPPUNIT_ASSERT_EQUAL(std::string(), RunHistory(options).violation);
+    }
+  }
+
+  void ReplacesALostPrimaryInTime()
+  {
+    for (const std::size_t vms : { std::size_t{ 6 }, std::size_t{ 9 } }) {
+      std::vector<PromotionTimes> times;
+      std::uint64_t rowWrites = 0;
+      for (std::uint64_t seed = 1; seed <= 300; ++seed) {
+        ModelOptions options;
+        options.seed = kSeed + seed;
+        options.vms = vms;
+        FailoverModel model(options);
+        model.RunUntil(5 * kSecond + Duration{ static_cast<Duration::rep>(seed * 7919 % 200'000) });
+        const std::size_t primary = model.ServerNode(model.PrimaryServer());
+        const std::uint64_t writesBefore = model.RowWrites();
+        model.Mark();
+        if (seed % 3 == 0) {
+          model.Kill(primary);
+        } else if (seed % 3 == 1) {
+          model.Freeze(primary);
+        } else {
+          model.CutFromAll(primary, true);
+        }
+        model.RunUntil(model.Now() + kBound);
+        CPPUNIT_ASSERT_EQUAL(std::string(), model.Violation());
+        const auto promotion = model.TimesSinceMark();
+        CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(options.seed), promotion.has_value());
+        times.push_back(*promotion);
+        rowWrites += model.RowWrites() - writesBefore;
+      }
+      std::cout << "promotions with " << vms << " VMs: " << times.size() << ", row writes "
+                << rowWrites << "\n";
+      const auto print = [&](const std::string& aName, Duration PromotionTimes::*aMember) {
+        std::vector<Duration> values;
+        values.reserve(times.size());
+        for (const PromotionTimes& promotion : times) {
+          values.push_back(promotion.*aMember);
+        }
+        Print(aName, values);
+      };
+      print("detect", &PromotionTimes::detect);
+      print("decide", &PromotionTimes::decide);
+      print("fence", &PromotionTimes::fence);
+      print("record", &PromotionTimes::record);
+      print("promote", &PromotionTimes::promote);
+      print("learn", &PromotionTimes::learn);
+      print("total", &PromotionTimes::total);
+    }
+  }
+
+  void KeepsThePrimaryOfAPartitionedVm()
+  {
+    const auto runWith = [](Defect aDefect, std::uint64_t aSeed) {
+      ModelOptions options;
+      options.seed = kSeed + aSeed;
+      options.defect = aDefect;
+      options.messageFaults = 0;
+      FailoverModel model(options);
+      model.RunUntil(3 * kSecond);
+      const std::uint64_t term = model.RowTerm();
+      model.Cut(aSeed % options.vms, model.ServerNode(model.PrimaryServer()), true);
+      model.RunUntil(15 * kSecond);
+      return model.RowTerm() == term && model.Violation().empty();
+    };
+    for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+      CPPUNIT_ASSERT(runWith(Defect::None, seed));
+    }
+    Section("a VM that counts its own suspicion as enough is noticed",
+            [&] { CPPUNIT_ASSERT(!runWith(Defect::OwnSuspicionIsEnough, 1)); });
+  }
+
+  void CheckersCatchBrokenVariants()
+  {
+    CPPUNIT_ASSERT(IsCaught(Defect::AcknowledgeWithoutTerm, "acknowledged without a majority"));
+    CPPUNIT_ASSERT(IsCaught(Defect::AcknowledgeWithoutTerm, "acknowledged", false));
+    CPPUNIT_ASSERT(IsCaught(Defect::ChooseAnyPosition, "a new primary lacks"));
+    CPPUNIT_ASSERT(IsCaught(Defect::ConflictTakenAsSuccess, "two primaries"));
+    CPPUNIT_ASSERT(IsCaught(Defect::OwnSuspicionIsEnough, "fenced without a suspicion"));
+    CPPUNIT_ASSERT(IsCaught(Defect::FencedGroupIgnored, "no acknowledged write"));
+  }
+
+private:
+  /** FAILOVER_SEED runs one history again; FAILOVER_HISTORIES sets their number. */
+  void RunHistories(std::uint64_t aCount, std::size_t aMostVms, bool aServersRefuseOldTerms)
+  {
+    const char* onlySeed = std::getenv("FAILOVER_SEED");   // NOLINT(concurrency-mt-unsafe)
+    const char* count = std::getenv("FAILOVER_HISTORIES"); // NOLINT(concurrency-mt-unsafe)
+    const std::uint64_t first = onlySeed != nullptr ? std::stoull(onlySeed) : kSeed;
+    const std::uint64_t histories =
+      onlySeed != nullptr ? 1 : (count != nullptr ? std::stoull(count) : aCount);
+    std::uint64_t acknowledged = 0;
+    std::uint64_t promotions = 0;
+    std::vector<Duration> recoveries;
+    std::vector<std::string> violations;
+    for (std::uint64_t i = 0; i < histories; ++i) {
+      ModelOptions options;
+      options.seed = first + i;
+      options.vms = 3 + options.seed % (aMostVms - 2);
+      options.serversRefuseOldTerms = aServersRefuseOldTerms;
+      const Result result = RunHistory(options);
+      if (!result.violation.empty()) {
+        violations.push_back(result.violation);
+      }
+      acknowledged += result.acknowledged;
+      promotions += result.promotions;
+      recoveries.push_back(result.recovery);
+    }
+    std::cout << histories << " histories, " << acknowledged << " acknowledged writes, "
+              << promotions << " promotions, " << violations.size() << " violations\n";
+    Print("first acknowledged write after the faults:", recoveries);
+    for (std::size_t i = 0; i < std::min<std::size_t>(violations.size(), 10); ++i) {
+      std::cout << "  " << violations[i] << "\n";
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, violations.size());
+    CPPUNIT_ASSERT(acknowledged > 0);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FailoverHistoryTest);
+
+} // namespace mustardshift
--- /dev/null
+++ b/packages/core/tests/FailoverModel.h
@@ -0,0 +1,223 @@
+#pragma once
+
+#include "core/failover/AcknowledgementRule.h"
+#include "core/failover/FailoverDecision.h"
+#include "core/failover/SuspicionTracker.h"
+
+#include <array>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace mustardshift::test {
+
+/** A fault built into the model's VMs, to show that a checker notices it. */
+enum class Defect
+{
+  None,
+  /** Acknowledges by offsets alone. */
+  AcknowledgeWithoutTerm,
+  /** Takes any fenced server for the one with the highest position. */
+  ChooseAnyPosition,
+  /** Takes a lost compare-and-set for a successful one. */
+  ConflictTakenAsSuccess,
+  /** Takes its own suspicion for that of all peers. */
+  OwnSuspicionIsEnough,
+  /** Never finishes what another VM has fenced. */
+  FencedGroupIgnored,
+};
+
+struct ModelOptions
+{
+  std::uint64_t seed = 1;
+  std::size_t vms = 6;
+  Defect defect = Defect::None;
+  /** False: servers go on executing and replicating in old terms. */
+  bool serversRefuseOldTerms = true;
+  /** Share of actions that are dropped, delayed, or at which the VM dies or is paused. */
+  double actionFaults = 0;
+  /** Share of messages that are lost or late. */
+  double messageFaults = 0.01;
+};
+
+/** Times of the steps of one promotion, measured from the fault. */
+struct PromotionTimes
+{
+  Duration detect{ 0 };
+  Duration decide{ 0 };
+  Duration fence{ 0 };
+  Duration record{ 0 };
+  Duration promote{ 0 };
+  Duration learn{ 0 };
+  Duration total{ 0 };
+};
+
+/** Three database servers, a platform row and some VMs in four failure domains, in virtual time.
+    Checks on the way that each term has one primary, that each acknowledged write is on a majority
+    and in the log of each later primary, and that nobody fences a primary alone. */
+class FailoverModel
+{
+public:
+  explicit FailoverModel(const ModelOptions& aOptions);
+
+  void RunUntil(Duration aTime);
+  Duration Now() const { return this->now; }
+
+  // Nodes are numbered: VMs first, then the servers, then the platform.
+  std::size_t ServerNode(std::size_t aServer) const { return this->options.vms + aServer; }
+  std::size_t PlatformNode() const { return this->options.vms + kServers; }
+  std::size_t DomainOf(std::size_t aNode) const;
+  std::size_t PrimaryServer() const;
+
+  void Kill(std::size_t aNode);
+  void Restart(std::size_t aNode);
+  void Freeze(std::size_t aNode);
+  void Thaw(std::size_t aNode);
+  /** Cuts two nodes off from each other, or joins them again. */
+  void Cut(std::size_t aLeft, std::size_t aRight, bool aCut);
+  void CutFromAll(std::size_t aNode, bool aCut);
+  void CutDomain(std::size_t aDomain, bool aWithPlatform, bool aCut);
+  /** Puts one random fault in, and repairs it after a random time. */
+  void InjectRandomFault();
+  /** Ends all faults; up to one server may stay down. */
+  void Heal(bool aLeaveOneServerDown);
+  /** Notes the moment for TimesSinceMark. */
+  void Mark();
+  /** Nothing when no primary was recorded since the mark, or not all VMs know it. */
+  std::optional<PromotionTimes> TimesSinceMark() const;
+
+  std::uint64_t RowTerm() const { return this->row.term; }
+  std::uint64_t RowWrites() const { return this->row.version; }
+  std::size_t AcknowledgedCount() const { return this->acknowledged.size(); }
+  /** Time of the first acknowledgement after aTime in the recorded term; nothing if none came. */
+  std::optional<Duration> AcknowledgedAfter(Duration aTime) const;
+  /** The first broken property, or empty. */
+  const std::string& Violation() const { return this->violation; }
+
+  static constexpr std::size_t kServers = 3;
+  static constexpr std::size_t kDomains = 4;
+
+private:
+  struct Entry
+  {
+    std::uint64_t term = 0;
+    std::uint64_t id = 0;
+  };
+
+  struct Server
+  {
+    std::uint64_t acceptedTerm = 0;
+    bool leads = false;
+    std::uint64_t ledTerm = 0;
+    std::uint64_t followedTerm = 0;
+    std::size_t followed = kServers;
+    std::vector<Entry> log;
+  };
+
+  struct Node
+  {
+    bool alive = true;
+    bool frozen = false;
+    std::uint64_t incarnation = 1;
+    std::vector<std::function<void()>> deferred;
+  };
+
+  struct Vm
+  {
+    std::optional<FailoverDecision> decision;
+    SuspicionTracker tracker{ kSuspicionTimeout };
+    std::array<bool, kServers> probeAnswered{ true, true, true };
+    bool suspected = false;
+    std::uint64_t ticks = 0;
+    // Times of this VM's latest attempt.
+    Duration queriedAt{ 0 };
+    Duration fencingAt{ 0 };
+    Duration recordingAt{ 0 };
+    std::map<std::uint64_t, Duration> adoptedAt;
+  };
+
+  struct Event
+  {
+    Duration at;
+    std::uint64_t order = 0;
+    std::size_t node = 0;
+    std::uint64_t incarnation = 0;
+    std::function<void()> run;
+    bool operator<(const Event& aOther) const
+    {
+      return at != aOther.at ? at > aOther.at : order > aOther.order;
+    }
+  };
+
+  struct Acknowledged
+  {
+    LogPosition position;
+    std::uint64_t id = 0;
+    Duration at{ 0 };
+  };
+
+  bool Chance(double aShare);
+  Duration Between(std::int64_t aLow, std::int64_t aHigh);
+  void At(Duration aDelay, std::size_t aNode, std::function<void()> aRun);
+  void Send(std::size_t aFrom, std::size_t aTo, std::function<void()> aRun);
+  void Fail(const std::string& aWhat);
+
+  void StartVm(std::size_t aVm);
+  void TickVm(std::size_t aVm);
+  void Probe(std::size_t aVm);
+  void Write(std::size_t aVm);
+  void AskReplicas(std::size_t aVm,
+                   std::shared_ptr<AcknowledgementRule> aRule,
+                   LogPosition aPosition,
+                   std::uint64_t aId,
+                   unsigned aTries);
+  void CheckAcknowledgement(LogPosition aPosition, std::uint64_t aId);
+  void Deliver(std::size_t aVm, FailoverEvent aEvent);
+  void Perform(std::size_t aVm, const FailoverAction& aAction);
+  void CommandServer(std::size_t aVm, const FailoverAction& aAction);
+
+  void SendCommand(std::size_t aVm, std::size_t aServer, std::function<FailoverEvent()> aRun);
+
+  ServerReport ReportOf(std::size_t aServer) const;
+  ServerAddress AddressOf(std::size_t aServer) const;
+  std::size_t ServerOf(const ServerAddress& aAddress) const;
+  VmId VmIdOf(std::size_t aVm) const { return VmId("vm-" + std::to_string(aVm)); }
+  bool TakeTerm(std::size_t aServer, std::uint64_t aTerm);
+  bool TakeLead(std::size_t aServer, std::uint64_t aTerm);
+  bool TakePrimary(std::size_t aServer, std::uint64_t aTerm, std::size_t aPrimary);
+  void Pull(std::size_t aServer);
+  static bool Holds(const std::vector<Entry>& aLog, const Acknowledged& aWrite);
+
+  ModelOptions options;
+  std::mt19937_64 random;
+  Duration now{ 0 };
+  std::uint64_t order = 0;
+  std::priority_queue<Event> events;
+  std::vector<Node> nodes;
+  std::vector<std::vector<bool>> cuts;
+  std::vector<Vm> vms;
+  std::array<Server, kServers> servers;
+  PrimaryRow row;
+  Duration rowWrittenAt{ 0 };
+  std::size_t rowWriter = 0;
+  std::uint64_t nextWrite = 1;
+  Duration mark{ 0 };
+
+  std::string violation;
+  std::vector<Acknowledged> acknowledged;
+  std::map<std::uint64_t, std::size_t> leaders;
+  std::map<std::uint64_t, std::vector<Entry>> logsAtPromotion;
+  std::map<std::uint64_t, Duration> promotedAt;
+  // Failure domains of the VMs that suspected the primary of a term.
+  std::map<std::uint64_t, std::set<std::size_t>> suspectingDomains;
+};
+
+} // namespace mustardshift::test
