--- a/tests/standins/database/ServerConnection.cpp
+++ b/tests/standins/database/ServerConnection.cpp
@@ -220,34 +220,45 @@
 
 void ServerConnection::RunInSlot(const dv1::Request& aRequest)
 {
+  std::optional<Transaction> open;
+  bool runs = false;
+  {
+    const std::lock_guard lock(this->mutex);
+    runs = !this->closed;
+    open.swap(this->transaction);
+  }
+  if (!runs) {
+    this->state.slots.Release();
+    return;
+  }
+  // The statement runs without the lock, because it may release waiting frames of this connection.
   dv1::Answer answer;
-  bool ran = false;
-  bool ended = false;
+  const bool wasOpen = open.has_value();
+  if (aRequest.command_case() == dv1::Request::kExecute) {
+    this->state.engine.Execute(aRequest, open ? &*open : nullptr, answer);
+  } else if (open) {
+    this->state.engine.Commit(aRequest, *open, answer);
+    open.reset();
+  } else {
+    this->state.engine.FillAnswer(aRequest, dv1::ANSWER_STATUS_INVALID, answer);
+  }
+  const bool committed = wasOpen && !open;
+  bool rolledBack = false;
   {
-    // Held while the statement runs, so that a connection that closes either rolls back before it
-    // or after it.
     const std::lock_guard lock(this->mutex);
-    if (!this->closed) {
-      ran = true;
-      Transaction* const open = this->transaction ? &*this->transaction : nullptr;
-      if (aRequest.command_case() == dv1::Request::kExecute) {
-        this->state.engine.Execute(aRequest, open, answer);
-      } else if (open) {
-        this->state.engine.Commit(aRequest, *open, answer);
-        this->transaction.reset();
-        ended = true;
-      } else {
-        this->state.engine.FillAnswer(aRequest, dv1::ANSWER_STATUS_INVALID, answer);
-      }
+    if (this->closed) {
+      rolledBack = open.has_value();
+    } else {
+      this->transaction.swap(open);
     }
   }
   this->state.slots.Release();
-  if (!ran) {
-    return;
-  }
-  this->state.Count([ended](auto& aCounters) {
+  this->state.Count([committed, rolledBack](auto& aCounters) {
     aCounters.set_statements(aCounters.statements() + 1);
-    aCounters.set_open_transactions(aCounters.open_transactions() - (ended ? 1 : 0));
+    aCounters.set_open_transactions(aCounters.open_transactions() -
+                                    (committed || rolledBack ? 1 : 0));
+    aCounters.set_rolled_back_transactions(aCounters.rolled_back_transactions() +
+                                           (rolledBack ? 1 : 0));
   });
   this->FrameDone(std::move(answer));
 }
