--- a/packages/daemon/request/DatabaseDispatcher.cpp
+++ b/packages/daemon/request/DatabaseDispatcher.cpp
@@ -449,7 +449,8 @@
       }
       const bool holds = aAnswer && aAnswer->status() == database::v1::ANSWER_STATUS_OK &&
                          aAnswer->accepted_term() == aConfirmation->position.term &&
-                         PositionOf(aAnswer->position()) >= aConfirmation->position;
+                         (aConfirmation->position.offset == 0 ||
+                          PositionOf(aAnswer->position()) >= aConfirmation->position);
       if (holds) {
         self->ObserveConfirmed(aConfirmation->started, aConfirmation->position);
         aConfirmation->Finish(aLater, {});
--- a/packages/daemon/request/DatabaseFrames.cpp
+++ b/packages/daemon/request/DatabaseFrames.cpp
@@ -29,6 +29,10 @@
   FlowResult result;
   result.rows.assign(aAnswer.rows().begin(), aAnswer.rows().end());
   result.position = PositionOf(aAnswer.position());
+  if (result.position.offset == 0) {
+    // An empty log has no entry that could name a term.
+    result.position.term = aAnswer.accepted_term();
+  }
   return result;
 }
 
