--- a/packages/core/rate/QuotaLoanGrant.h
+++ b/packages/core/rate/QuotaLoanGrant.h
@@ -24,6 +24,8 @@
   double tokens = 0;
   /** How long the loan lasts from before the borrower's request was sent. */
   Duration duration{ 0 };
+
+  friend bool operator==(const QuotaLoanGrant&, const QuotaLoanGrant&) = default;
 };
 
 } // namespace mustardshift
--- a/packages/core/rate/QuotaLoanRequest.h
+++ b/packages/core/rate/QuotaLoanRequest.h
@@ -23,6 +23,8 @@
   QuotaUnits units = 0;
   /** The loan to extend, or nothing for a new loan. */
   std::optional<QuotaLoanId> extends;
+
+  friend bool operator==(const QuotaLoanRequest&, const QuotaLoanRequest&) = default;
 };
 
 } // namespace mustardshift
--- /dev/null
+++ b/packages/daemon/Daemon.cpp
@@ -0,0 +1,472 @@
+#include "daemon/Daemon.h"
+
+#include "adapters/clock/SystemBootClock.h"
+#include "adapters/log/Log.h"
+#include "daemon/control/PlatformRows.h"
+
+#include <algorithm>
+#include <grpcpp/server_builder.h>
+#include <thread>
+#include <utility>
+
+namespace mustardshift {
+
+namespace {
+
+constexpr std::size_t kRequestRing = 65536;
+constexpr std::size_t kControlRing = 4096;
+constexpr Duration kTickInterval = std::chrono::milliseconds(100);
+constexpr Duration kPingInterval = std::chrono::seconds(1);
+constexpr Duration kLoanInterval = std::chrono::milliseconds(250);
+constexpr Duration kEntitlementInterval = std::chrono::seconds(1);
+constexpr Duration kDatabasePollInterval = std::chrono::seconds(1);
+constexpr Duration kRegistrationPollInterval = std::chrono::seconds(2);
+constexpr Duration kShardPollInterval = std::chrono::seconds(1);
+/** Connections are kept only if the entitlement lasts for this long, the longest request. */
+constexpr Duration kEntitlementLookahead = std::chrono::seconds(60);
+constexpr Duration kTableTimeout = std::chrono::milliseconds(800);
+constexpr Duration kShutdownPoll = std::chrono::milliseconds(20);
+
+const Log kLog(Component::Daemon);
+
+/** Number of this process among those of the VM. Wall-clock time grows from start to start, unless
+    the clock is set back; the registration then refuses the smaller number's claims. */
+std::uint64_t MakeIncarnation()
+{
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<std::uint64_t>(
+    std::chrono::duration_cast<std::chrono::microseconds>(now).count());
+}
+
+} // namespace
+
+Daemon::Daemon(DaemonSettings aSettings)
+  : settings(std::move(aSettings))
+  , incarnation(MakeIncarnation())
+  , requestLoop(kRequestRing)
+  , platformLoop(kControlRing)
+  , failoverTableLoop(kControlRing)
+  , table(this->settings.platformAddress, this->settings.vm.Text())
+  , failoverTable(this->settings.platformAddress, this->settings.vm.Text())
+  , objects(this->settings.platformAddress, this->settings.vm.Text())
+  , trust(this->settings.vm)
+  , gate{ this->trust, false, "" }
+  , quota(this->settings.vm, this->incarnation)
+  , processor(this->requestLoop,
+              this->settings.vm.Text(),
+              this->settings.failureDomain,
+              this->gate,
+              this->quota,
+              [](const OrganisationName&, const Outcome<CallerAnswer>&, Duration) {})
+  , transactions(this->requestLoop, this->processor, this->settings.tunables.transactionTimeout)
+  , peers(this->settings.vm,
+          this->incarnation,
+          this->settings.failureDomain,
+          this->trust,
+          this->quota,
+          this->MakePeerHooks())
+  , failover(this->requestLoop,
+             this->failoverTableLoop,
+             this->failoverTable,
+             this->peers,
+             { this->settings.vm, this->settings.failureDomain, this->incarnation },
+             this->MakeFailoverHooks())
+  , registration(this->table,
+                 this->settings.vm,
+                 { this->incarnation,
+                   this->settings.callerAddress,
+                   this->settings.operatorAddress,
+                   this->settings.peerAddress,
+                   this->settings.failureDomain },
+                 this->MakeRegistrationHooks())
+  , configuration(this->table, this->objects, this->registration, this->MakeConfigurationHooks())
+  , shards(this->table,
+           this->settings.vm,
+           this->incarnation,
+           [this](const QuotaShardHolder& aHolder) { this->OnShardsChanged(aHolder); })
+  , callerService(this->requestLoop,
+                  this->processor,
+                  this->transactions,
+                  this->settings.tunables.requestTimeout)
+  , operatorService(*this)
+{
+}
+
+Daemon::~Daemon()
+{
+  if (this->isRunning) {
+    this->Shutdown();
+  }
+}
+
+RegistrationKeeper::Hooks Daemon::MakeRegistrationHooks()
+{
+  RegistrationKeeper::Hooks hooks;
+  hooks.registered = [this](Instant aSent, Instant aAnswered) {
+    this->requestLoop.Post([this, aSent, aAnswered](Instant /*aNow*/) {
+      this->trust.Registered(aSent, aAnswered, this->incarnation);
+    });
+  };
+  hooks.read = [this](Instant aSent,
+                      Instant aAnswered,
+                      const std::vector<RegistrationRow>& aRows,
+                      const std::map<VmId, VmRow>& aVms) {
+    this->requestLoop.Post([this, aSent, aAnswered, aRows, aVms](Instant /*aNow*/) {
+      this->trust.RegistrationsRead(aSent, aAnswered, aRows);
+      this->OnRegistrations(aVms);
+    });
+  };
+  return hooks;
+}
+
+ConfigurationKeeper::Hooks Daemon::MakeConfigurationHooks()
+{
+  ConfigurationKeeper::Hooks hooks;
+  hooks.headRead = [this](Instant aSent, std::uint64_t aHead) {
+    this->requestLoop.Post(
+      [this, aSent, aHead](Instant /*aNow*/) { this->trust.HeadRead(aSent, aHead); });
+  };
+  hooks.changed = [this](const std::shared_ptr<const Configuration>& aConfiguration) {
+    this->OnConfiguration(aConfiguration);
+  };
+  hooks.mayAccept = [this] {
+    bool may = false;
+    this->requestLoop.PostAndWait(
+      [this, &may](Instant aNow) { may = this->trust.MayAcceptChanges(aNow); });
+    return may;
+  };
+  hooks.changeSent = [this](std::uint64_t aBase) {
+    this->requestLoop.PostAndWait(
+      [this, aBase](Instant /*aNow*/) { this->trust.ChangeSent(aBase); });
+  };
+  hooks.changeAnswered = [this](std::uint64_t aBase, bool aIsAccepted) {
+    this->requestLoop.PostAndWait([this, aBase, aIsAccepted](Instant /*aNow*/) {
+      this->trust.ChangeAnswered(aBase, aIsAccepted);
+    });
+  };
+  hooks.accepted = [this](std::uint64_t aVersion, const std::string& aEncoded) {
+    this->requestLoop.Post([this, aVersion, aEncoded](Instant aNow) {
+      this->peers.PushChange(aVersion, aEncoded);
+      this->peers.Ping(aNow);
+    });
+  };
+  return hooks;
+}
+
+PeerExchange::Hooks Daemon::MakePeerHooks()
+{
+  PeerExchange::Hooks hooks;
+  hooks.primaryLearned = [this](Instant aNow, const KnownPrimary& aPrimary) {
+    this->failover.LearnPrimary(aNow, aPrimary);
+  };
+  hooks.changePushed = [this](const std::string& aEncoded) {
+    this->platformLoop.TryPost(
+      [this, aEncoded](Instant /*aNow*/) { this->configuration.TakePushed(aEncoded); });
+  };
+  hooks.versionHeard = [this] {
+    this->platformLoop.TryPost([this](Instant /*aNow*/) { this->PollConfiguration(); });
+  };
+  hooks.suspects = [this](const KnownPrimary& aSuspected) {
+    return this->failover.Suspects(aSuspected);
+  };
+  hooks.suspicionAnswered = [this](Instant aNow,
+                                   const VmId& aPeer,
+                                   const FailureDomainName& aFailureDomain,
+                                   const KnownPrimary& aKnown,
+                                   std::uint64_t aTerm,
+                                   bool aSuspects) {
+    this->failover.ObservePeerAnswer(aNow, aPeer, aFailureDomain, aKnown, aTerm, aSuspects);
+  };
+  hooks.knownPrimaries = [this] { return this->failover.KnownPrimaries(); };
+  hooks.membersChanged = [this](Instant aNow, const std::vector<VmId>& aMembers) {
+    this->failover.SetMembers(aNow, aMembers);
+  };
+  return hooks;
+}
+
+FailoverDriver::Hooks Daemon::MakeFailoverHooks()
+{
+  FailoverDriver::Hooks hooks;
+  hooks.adopted =
+    [this](Instant aNow, const DatabaseName& aDatabase, const GroupPrimary& aPrimary) {
+      this->processor.SetPrimary(aNow, aDatabase, aPrimary);
+    };
+  hooks.promoted = [](const DatabaseName& aDatabase, Duration aGap) {
+    const auto gap = std::chrono::duration_cast<std::chrono::milliseconds>(aGap);
+    kLog.Info("The promotion for " + aDatabase.Text() + " took " + std::to_string(gap.count()) +
+              " ms from the suspicion.");
+  };
+  return hooks;
+}
+
+tl::expected<void, std::string> Daemon::Start()
+{
+  PeerNodeOptions options;
+  options.self = this->settings.vm;
+  options.listenAddress = this->settings.peerAddress;
+  options.seed = this->incarnation;
+  auto node = PeerNode::Start(
+    options, [this](const VmId& aPeer, PeerMessage aMessage, std::size_t /*aSize*/) {
+      // A full loop drops the message like a broken link would.
+      this->requestLoop.TryPost([this, aPeer, message = std::move(aMessage)](Instant aNow) {
+        this->peers.Receive(aNow, aPeer, message);
+      });
+    });
+  if (!node) {
+    return tl::unexpected("the peer address " + this->settings.peerAddress +
+                          " can't be used: " + node.error().message);
+  }
+  this->peerNode = std::move(*node);
+  this->peers.Use(*this->peerNode);
+  this->OnRegistrations({});
+  const tl::expected<void, std::string> servers = this->StartServers();
+  if (!servers) {
+    return servers;
+  }
+  this->StartTimers();
+  this->requestLoop.Start();
+  this->failoverTableLoop.Start();
+  this->platformLoop.Start();
+  this->isRunning = true;
+  kLog.Info("This VM serves clients at " + this->settings.callerAddress + ".");
+  return {};
+}
+
+tl::expected<void, std::string> Daemon::StartServers()
+{
+  int callerPort = 0;
+  grpc::ServerBuilder callers;
+  callers.AddListeningPort(
+    this->settings.callerAddress, grpc::InsecureServerCredentials(), &callerPort);
+  callers.RegisterService(&this->callerService);
+  this->callerServer = callers.BuildAndStart();
+  if (!this->callerServer || callerPort == 0) {
+    return tl::unexpected("the caller address " + this->settings.callerAddress + " can't be used");
+  }
+  int operatorPort = 0;
+  grpc::ServerBuilder operators;
+  operators.AddListeningPort(
+    this->settings.operatorAddress, grpc::InsecureServerCredentials(), &operatorPort);
+  operators.RegisterService(&this->operatorService);
+  this->operatorServer = operators.BuildAndStart();
+  if (!this->operatorServer || operatorPort == 0) {
+    return tl::unexpected("the operator address " + this->settings.operatorAddress +
+                          " can't be used");
+  }
+  return {};
+}
+
+void Daemon::Every(EventLoop& aLoop, Duration aInterval, std::function<void(Instant)> aTask)
+{
+  aLoop.Schedule(SystemBootClock{}.Now() + aInterval,
+                 [this, &aLoop, aInterval, task = std::move(aTask)](Instant aNow) {
+                   task(aNow);
+                   this->Every(aLoop, aInterval, task);
+                 });
+}
+
+void Daemon::StartTimers()
+{
+  this->Every(
+    this->requestLoop, kTickInterval, [this](Instant aNow) { this->failover.Tick(aNow); });
+  this->Every(this->requestLoop, this->settings.tunables.probeInterval, [this](Instant aNow) {
+    this->ProbeServers(aNow);
+  });
+  this->Every(this->requestLoop, kPingInterval, [this](Instant aNow) { this->peers.Ping(aNow); });
+  this->Every(
+    this->requestLoop, kLoanInterval, [this](Instant aNow) { this->peers.RequestLoans(aNow); });
+  this->Every(this->requestLoop, kEntitlementInterval, [this](Instant aNow) {
+    this->ApplyEntitlements(aNow);
+  });
+  this->Every(this->platformLoop,
+              this->settings.tunables.configurationPollInterval,
+              [this](Instant /*aNow*/) { this->PollConfiguration(); });
+  this->Every(
+    this->platformLoop, kDatabasePollInterval, [this](Instant /*aNow*/) { this->PollDatabases(); });
+  this->Every(this->platformLoop, kRegistrationPollInterval, [this](Instant /*aNow*/) {
+    this->PollRegistrations();
+  });
+  this->Every(this->platformLoop, kShardPollInterval, [this](Instant /*aNow*/) {
+    this->PollShards(this->isDraining);
+  });
+  this->platformLoop.TryPost([this](Instant /*aNow*/) {
+    this->PollRegistrations();
+    this->PollConfiguration();
+    this->PollShards(false);
+    this->PollDatabases();
+  });
+}
+
+void Daemon::ProbeServers(Instant aNow)
+{
+  for (const auto& [name, dispatcher] : this->processor.Dispatchers()) {
+    dispatcher->Probe(aNow,
+                      [this, database = name](Instant aLater,
+                                              const ServerAddress& aServer,
+                                              const Outcome<database::v1::ServerReport>& aReport) {
+                        this->failover.ObserveProbe(aLater, database, aServer, aReport);
+                      });
+  }
+}
+
+void Daemon::NotePlatform(bool aAnswered)
+{
+  const Instant answered = SystemBootClock{}.Now();
+  this->requestLoop.Post([this, aAnswered, answered](Instant aNow) {
+    this->failover.SetPlatformState(aNow, aAnswered, answered);
+  });
+}
+
+void Daemon::PollConfiguration()
+{
+  this->NotePlatform(this->configuration.Poll());
+}
+
+void Daemon::PollDatabases()
+{
+  const auto rows = this->table.Scan(std::string(kDatabasePrefix), 0, kTableTimeout);
+  if (!rows) {
+    return;
+  }
+  std::vector<KnownPrimary> primaries;
+  for (const TableRow& row : *rows) {
+    if (const std::optional<DatabaseRow> decoded = DecodeDatabaseRow(row.value)) {
+      primaries.push_back(
+        { DatabaseName(row.key.substr(kDatabasePrefix.size())), decoded->term, decoded->primary });
+    }
+  }
+  this->requestLoop.Post([this, primaries](Instant aNow) {
+    for (const KnownPrimary& primary : primaries) {
+      this->failover.LearnPrimary(aNow, primary);
+    }
+  });
+}
+
+void Daemon::PollRegistrations()
+{
+  if (this->isDraining || !this->registration.Poll(SystemBootClock{}.Now())) {
+    return;
+  }
+  std::vector<RegistrationRow> lapsed;
+  this->requestLoop.PostAndWait(
+    [this, &lapsed](Instant aNow) { lapsed = this->trust.LapsedRegistrations(aNow); });
+  this->registration.Remove(lapsed);
+}
+
+void Daemon::PollShards(bool aIsLeaving)
+{
+  std::set<VmId> live;
+  bool withinEntitlement = false;
+  this->requestLoop.PostAndWait([this, &live, &withinEntitlement](Instant aNow) {
+    const std::vector<VmId> serving = this->peers.Serving(aNow);
+    live = { serving.begin(), serving.end() };
+    withinEntitlement = this->connectionsAreWithinEntitlement;
+  });
+  this->shards.Poll(SystemBootClock{}.Now(), live, aIsLeaving, withinEntitlement);
+}
+
+void Daemon::OnShardsChanged(const QuotaShardHolder& aHolder)
+{
+  this->requestLoop.PostAndWait([this, &aHolder](Instant aNow) {
+    this->heldShards = aHolder;
+    const std::vector<HeldQuotaShard> held = aHolder.HeldShards(aNow);
+    this->quota.SetShards(aNow, held);
+    std::vector<std::uint32_t> numbers;
+    for (const HeldQuotaShard& shard : held) {
+      numbers.push_back(shard.shard.index);
+    }
+    this->peers.SetHeldShards(std::move(numbers));
+    this->ApplyEntitlements(aNow);
+  });
+}
+
+void Daemon::ApplyEntitlements(Instant aNow)
+{
+  if (!this->heldShards) {
+    return;
+  }
+  this->connectionsAreWithinEntitlement = true;
+  for (const DatabaseGroup& group : this->processor.Present().databases) {
+    const auto dispatcher = this->processor.FindDispatcher(group.name);
+    const unsigned entitled =
+      this->heldShards->ConnectionsEntitled(aNow + kEntitlementLookahead, group.connectionLimit);
+    dispatcher->SetEntitlement(entitled);
+    dispatcher->OpenAhead(aNow);
+    this->connectionsAreWithinEntitlement =
+      this->connectionsAreWithinEntitlement && dispatcher->MostConnections() <= entitled;
+  }
+}
+
+void Daemon::OnConfiguration(const std::shared_ptr<const Configuration>& aConfiguration)
+{
+  this->requestLoop.PostAndWait([this, aConfiguration](Instant aNow) {
+    this->processor.Configure(aNow, aConfiguration);
+    this->failover.Configure(aNow, *aConfiguration);
+    this->ApplyEntitlements(aNow);
+    this->trust.SetVersion(aConfiguration->version);
+  });
+}
+
+void Daemon::OnRegistrations(const std::map<VmId, VmRow>& aVms)
+{
+  this->registeredVms = aVms;
+  std::map<VmId, PeerAddress> addresses;
+  for (const PeerSettings& peer : this->settings.peers) {
+    addresses[peer.vm] = { peer.vm, peer.address };
+  }
+  this->gate.alternativeAddress.clear();
+  for (const auto& [vm, row] : aVms) {
+    addresses[vm] = { vm, row.peerAddress };
+    if (vm != this->settings.vm && row.failureDomain != this->settings.failureDomain) {
+      this->gate.alternativeAddress = row.callerAddress;
+    }
+  }
+  std::vector<PeerAddress> peerAddresses;
+  for (const auto& [vm, address] : addresses) {
+    peerAddresses.push_back(address);
+  }
+  this->peers.SetPeers(peerAddresses);
+}
+
+void Daemon::BeginDrain()
+{
+  if (this->isDraining.exchange(true)) {
+    return;
+  }
+  Log(Component::Drain).Info("This VM takes no new work.");
+  this->requestLoop.PostAndWait([this](Instant aNow) {
+    this->gate.isDraining = true;
+    this->peers.SetDrainState(PeerDrainState::Draining);
+    this->peers.Ping(aNow);
+  });
+}
+
+bool Daemon::IsIdle()
+{
+  bool idle = true;
+  this->requestLoop.PostAndWait([this, &idle](Instant /*aNow*/) {
+    idle = this->processor.RunningRequests() == 0 && this->transactions.OpenTransactions() == 0;
+  });
+  return idle;
+}
+
+void Daemon::Shutdown()
+{
+  this->BeginDrain();
+  const Instant until = SystemBootClock{}.Now() + this->settings.tunables.shutdownTimeout;
+  while (!this->IsIdle() && SystemBootClock{}.Now() < until) {
+    std::this_thread::sleep_for(kShutdownPoll);
+  }
+  this->platformLoop.PostAndWait([this](Instant /*aNow*/) { this->registration.Deregister(); });
+  this->isRunning = false;
+  const auto grace = std::chrono::system_clock::now() + std::chrono::milliseconds(200);
+  this->callerServer->Shutdown(grace);
+  this->operatorServer->Shutdown(grace);
+  this->platformLoop.Stop();
+  this->failoverTableLoop.Stop();
+  this->peerNode->Stop();
+  this->requestLoop.Stop();
+  kLog.Info("This VM has stopped.");
+}
+
+} // namespace mustardshift
--- /dev/null
+++ b/packages/daemon/Daemon.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include "adapters/peer/PeerNode.h"
+#include "adapters/platform/ObjectStoreClient.h"
+#include "adapters/platform/TableClient.h"
+#include "adapters/settings/DaemonSettings.h"
+#include "core/base/Outcome.h"
+#include "core/configuration/ConfigurationTrust.h"
+#include "core/rate/OrganisationQuotaTable.h"
+#include "daemon/control/ConfigurationKeeper.h"
+#include "daemon/control/RegistrationKeeper.h"
+#include "daemon/control/ShardKeeper.h"
+#include "daemon/failover/FailoverDriver.h"
+#include "daemon/loop/EventLoop.h"
+#include "daemon/peer/PeerExchange.h"
+#include "daemon/request/RequestProcessor.h"
+#include "daemon/request/ServiceGate.h"
+#include "daemon/request/TransactionTable.h"
+#include "daemon/service/CallerService.h"
+#include "daemon/service/OperatorService.h"
+
+#include <atomic>
+#include <grpcpp/server.h>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace mustardshift {
+
+/** An entry VM's daemon: all its parts and the threads that they run on.
+
+    - The request loop owns requests, quotas, trust, failover decisions and what peers said.
+    - The platform loop reads and writes the platform's table: configuration, registration, shards.
+    - The failover table loop does the table calls of promotions, so that they wait for nothing.
+    - The peer node and gRPC have threads of their own, which hand everything to the request loop.
+
+    Thread safety: Start and Shutdown from one thread. */
+class Daemon
+{
+public:
+  explicit Daemon(DaemonSettings aSettings);
+  ~Daemon();
+  Daemon(const Daemon&) = delete;
+  Daemon& operator=(const Daemon&) = delete;
+
+  /** Opens the ports and starts to serve. Returns a sentence that says what is wrong when it
+      can't. */
+  tl::expected<void, std::string> Start();
+
+  /** Turns new work away, waits for open work until its bound, gives up leases and stops. */
+  void Shutdown();
+
+private:
+  friend class OperatorService;
+
+  RegistrationKeeper::Hooks MakeRegistrationHooks();
+  ConfigurationKeeper::Hooks MakeConfigurationHooks();
+  PeerExchange::Hooks MakePeerHooks();
+  FailoverDriver::Hooks MakeFailoverHooks();
+
+  tl::expected<void, std::string> StartServers();
+  void StartTimers();
+  void ProbeServers(Instant aNow);
+  void Every(EventLoop& aLoop, Duration aInterval, std::function<void(Instant)> aTask);
+  void PollConfiguration();
+  void PollDatabases();
+  void PollRegistrations();
+  void PollShards(bool aIsLeaving);
+  void OnShardsChanged(const QuotaShardHolder& aHolder);
+  void ApplyEntitlements(Instant aNow);
+  void OnConfiguration(const std::shared_ptr<const Configuration>& aConfiguration);
+  void OnRegistrations(const std::map<VmId, VmRow>& aVms);
+  void NotePlatform(bool aAnswered);
+  void BeginDrain();
+  bool IsIdle();
+
+  DaemonSettings settings;
+  std::uint64_t incarnation;
+  EventLoop requestLoop;
+  EventLoop platformLoop;
+  EventLoop failoverTableLoop;
+  TableClient table;
+  TableClient failoverTable;
+  ObjectStoreClient objects;
+
+  // Owned by the request loop.
+  ConfigurationTrust trust;
+  ServiceGate gate;
+  OrganisationQuotaTable quota;
+  RequestProcessor processor;
+  TransactionTable transactions;
+  PeerExchange peers;
+  FailoverDriver failover;
+  /** Copy of the platform loop's leases, to see them lapse while the platform is out of reach. */
+  std::optional<QuotaShardHolder> heldShards;
+  bool connectionsAreWithinEntitlement = true;
+  std::map<VmId, VmRow> registeredVms;
+
+  // Owned by the platform loop.
+  RegistrationKeeper registration;
+  ConfigurationKeeper configuration;
+  ShardKeeper shards;
+  Instant nextRegistrationPoll{};
+
+  std::unique_ptr<PeerNode> peerNode;
+  CallerService callerService;
+  OperatorService operatorService;
+  std::unique_ptr<grpc::Server> callerServer;
+  std::unique_ptr<grpc::Server> operatorServer;
+  std::atomic<bool> isDraining{ false };
+  bool isRunning = false;
+};
+
+} // namespace mustardshift
--- /dev/null
+++ b/packages/daemon/peer/PeerExchange.cpp
@@ -0,0 +1,288 @@
+#include "daemon/peer/PeerExchange.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace mustardshift {
+
+namespace {
+
+/** A peer counts as reachable for this long after a pong: three pings. */
+constexpr Duration kReachableFor = std::chrono::seconds(3);
+/** Sent messages are forgotten after this time; later answers are ignored. */
+constexpr Duration kAnswerWindow = std::chrono::seconds(10);
+/** The list of registrations is repeated this often even if it is unchanged, since links may lose
+    messages. Sending it each time would take half of the 2 KB/s that control may use. */
+constexpr unsigned kPongsBetweenVmLists = 5;
+
+} // namespace
+
+PeerExchange::PeerExchange(VmId aSelf,
+                           std::uint64_t aIncarnation,
+                           FailureDomainName aFailureDomain,
+                           ConfigurationTrust& aTrust,
+                           OrganisationQuotaTable& aQuota,
+                           Hooks aHooks)
+  : self(std::move(aSelf))
+  , incarnation(aIncarnation)
+  , failureDomain(std::move(aFailureDomain))
+  , trust(aTrust)
+  , quota(aQuota)
+  , hooks(std::move(aHooks))
+{
+}
+
+void PeerExchange::SetPeers(const std::vector<PeerAddress>& aPeers)
+{
+  this->peers.clear();
+  for (const PeerAddress& peer : aPeers) {
+    if (peer.id != this->self) {
+      this->peers.push_back(peer);
+    }
+  }
+  if (this->node != nullptr) {
+    this->node->SetPeers(this->peers);
+  }
+}
+
+PeerHeader PeerExchange::MakeHeader(std::uint64_t aAnswers)
+{
+  return { this->self, this->incarnation, ++this->lastMessageId, aAnswers };
+}
+
+PeerState PeerExchange::MakeState(Instant aNow, const VmId& aPeer)
+{
+  const TrustReport report = this->trust.Report(aNow);
+  PeerState state;
+  state.configurationVersion = report.version;
+  state.confirmationAge = report.confirmationAge;
+  state.platformReachable = report.reachesPlatform;
+  state.hasUnresolvedChange = report.hasUnresolvedChange;
+  Peer& peer = this->states[aPeer];
+  if (peer.sentVms != report.knownVms || ++peer.pongsSinceVmsSent >= kPongsBetweenVmLists) {
+    state.knownVms.emplace(report.knownVms.begin(), report.knownVms.end());
+    peer.sentVms = report.knownVms;
+    peer.pongsSinceVmsSent = 0;
+  }
+  // Changes of primaries are announced; the rotation repairs what an announcement missed.
+  const std::vector<KnownPrimary> primaries = this->hooks.knownPrimaries();
+  if (!primaries.empty()) {
+    state.primaries.push_back(primaries[this->nextPrimary++ % primaries.size()]);
+  }
+  state.heldShards = this->heldShards;
+  state.drainState = this->drainState;
+  return state;
+}
+
+void PeerExchange::Broadcast(const std::function<PeerMessage()>& aMake)
+{
+  if (this->node == nullptr) {
+    return;
+  }
+  for (const PeerAddress& peer : this->peers) {
+    this->node->Send(peer.id, aMake());
+  }
+}
+
+void PeerExchange::Ping(Instant aNow)
+{
+  if (this->node == nullptr) {
+    return;
+  }
+  std::erase_if(this->sentAt,
+                [&](const auto& aSent) { return aSent.second + kAnswerWindow < aNow; });
+  while (!this->queriedTerms.empty() && !this->sentAt.contains(this->queriedTerms.begin()->first)) {
+    this->queriedTerms.erase(this->queriedTerms.begin());
+  }
+  for (const PeerAddress& peer : this->peers) {
+    mustardshift::Ping ping{ this->MakeHeader(), {} };
+    ping.state.configurationVersion = this->trust.Version();
+    ping.state.platformReachable = true;
+    ping.state.drainState = this->drainState;
+    this->sentAt[ping.header.messageId] = aNow;
+    this->node->Send(peer.id, ping);
+  }
+  std::vector<VmId> reachable = this->Reachable(aNow);
+  if (reachable != this->lastReachable) {
+    this->lastReachable = std::move(reachable);
+    this->hooks.membersChanged(aNow, this->lastReachable);
+  }
+}
+
+void PeerExchange::RequestLoans(Instant aNow)
+{
+  if (this->node == nullptr) {
+    return;
+  }
+  for (const QuotaLoanRequest& request : this->quota.PlanRequests(aNow, this->Serving(aNow))) {
+    const QuotaLoanRequestMessage message{ this->MakeHeader(), request };
+    this->sentAt[message.header.messageId] = aNow;
+    this->node->Send(request.lender, message);
+  }
+}
+
+void PeerExchange::Receive(Instant aNow, const VmId& aPeer, const PeerMessage& aMessage)
+{
+  std::visit([&](const auto& aAlternative) { this->On(aNow, aPeer, aAlternative); }, aMessage);
+}
+
+void PeerExchange::On(Instant aNow, const VmId& aPeer, const mustardshift::Ping& aMessage)
+{
+  Peer& peer = this->states[aPeer];
+  peer.state.drainState = aMessage.state.drainState;
+  if (aMessage.state.configurationVersion > this->trust.Version()) {
+    this->hooks.versionHeard();
+  }
+  const Pong pong{ this->MakeHeader(aMessage.header.messageId), this->MakeState(aNow, aPeer) };
+  this->node->Send(aPeer, pong);
+}
+
+void PeerExchange::On(Instant aNow, const VmId& aPeer, const Pong& aMessage)
+{
+  const auto sent = this->sentAt.find(aMessage.header.answersMessageId);
+  if (sent == this->sentAt.end()) {
+    return;
+  }
+  const Instant pingSent = sent->second;
+  this->sentAt.erase(sent);
+  Peer& peer = this->states[aPeer];
+  if (peer.incarnation != aMessage.header.incarnation) {
+    peer.knownVms.clear();
+    peer.incarnation = aMessage.header.incarnation;
+  }
+  peer.lastPong = aNow;
+  peer.state = aMessage.state;
+  if (aMessage.state.knownVms) {
+    peer.knownVms = { aMessage.state.knownVms->begin(), aMessage.state.knownVms->end() };
+  }
+  this->trust.PeerReported(pingSent,
+                           aNow,
+                           { { aPeer, aMessage.header.incarnation },
+                             aMessage.state.configurationVersion,
+                             aMessage.state.confirmationAge,
+                             aMessage.state.platformReachable,
+                             aMessage.state.hasUnresolvedChange,
+                             peer.knownVms });
+  if (aMessage.state.configurationVersion > this->trust.Version()) {
+    this->hooks.versionHeard();
+  }
+  for (const KnownPrimary& primary : aMessage.state.primaries) {
+    this->hooks.primaryLearned(aNow, primary);
+  }
+}
+
+void PeerExchange::On(Instant /*aNow*/, const VmId& aPeer, const SuspicionQuery& aMessage)
+{
+  SuspicionAnswer answer;
+  answer.header = this->MakeHeader(aMessage.header.messageId);
+  answer.suspects = this->hooks.suspects(aMessage.suspected);
+  answer.failureDomain = this->failureDomain;
+  answer.known = aMessage.suspected;
+  for (const KnownPrimary& primary : this->hooks.knownPrimaries()) {
+    if (primary.database == aMessage.suspected.database) {
+      answer.known = primary;
+    }
+  }
+  this->node->Send(aPeer, answer);
+}
+
+void PeerExchange::On(Instant aNow, const VmId& aPeer, const SuspicionAnswer& aMessage)
+{
+  const auto queried = this->queriedTerms.find(aMessage.header.answersMessageId);
+  if (queried == this->queriedTerms.end()) {
+    return;
+  }
+  this->hooks.suspicionAnswered(
+    aNow, aPeer, aMessage.failureDomain, aMessage.known, queried->second, aMessage.suspects);
+}
+
+void PeerExchange::On(Instant aNow, const VmId& aPeer, const QuotaLoanRequestMessage& aMessage)
+{
+  if (aMessage.request.lender != this->self || aMessage.request.borrower != aPeer) {
+    return;
+  }
+  const QuotaLoanGrantMessage answer{ this->MakeHeader(aMessage.header.messageId),
+                                      this->quota.Lend(aNow, aMessage.request) };
+  this->node->Send(aPeer, answer);
+}
+
+void PeerExchange::On(Instant aNow, const VmId& /*aPeer*/, const QuotaLoanGrantMessage& aMessage)
+{
+  const auto sent = this->sentAt.find(aMessage.header.answersMessageId);
+  if (sent == this->sentAt.end()) {
+    return;
+  }
+  this->quota.Borrow(aNow, aMessage.grant, sent->second);
+  this->sentAt.erase(sent);
+}
+
+void PeerExchange::On(Instant /*aNow*/, const VmId& /*aPeer*/, const ConfigurationPush& aMessage)
+{
+  if (aMessage.version <= this->trust.Version()) {
+    return;
+  }
+  if (aMessage.change.empty()) {
+    this->hooks.versionHeard();
+  } else {
+    this->hooks.changePushed(aMessage.change);
+  }
+}
+
+void PeerExchange::On(Instant aNow, const VmId& /*aPeer*/, const PrimaryChanged& aMessage)
+{
+  this->hooks.primaryLearned(aNow, aMessage.primary);
+}
+
+void PeerExchange::PushChange(std::uint64_t aVersion, const std::string& aEncodedChange)
+{
+  // A change too large for a message is fetched from the platform.
+  constexpr std::size_t kLargestPushedChange = 32 * 1024;
+  const std::string content =
+    aEncodedChange.size() <= kLargestPushedChange ? aEncodedChange : std::string();
+  this->Broadcast([&] { return ConfigurationPush{ this->MakeHeader(), aVersion, content }; });
+}
+
+void PeerExchange::Announce(const KnownPrimary& aPrimary)
+{
+  this->Broadcast([&] { return PrimaryChanged{ this->MakeHeader(), aPrimary }; });
+}
+
+void PeerExchange::QuerySuspicion(Instant aNow, const KnownPrimary& aSuspected)
+{
+  this->Broadcast([&] {
+    SuspicionQuery query{ this->MakeHeader(), aSuspected };
+    this->sentAt[query.header.messageId] = aNow;
+    this->queriedTerms[query.header.messageId] = aSuspected.term;
+    return query;
+  });
+}
+
+std::vector<VmId> PeerExchange::Reachable(Instant aNow) const
+{
+  std::vector<VmId> reachable;
+  for (const PeerAddress& peer : this->peers) {
+    const auto state = this->states.find(peer.id);
+    if (state != this->states.end() && state->second.lastPong != Instant{} &&
+        state->second.lastPong + kReachableFor > aNow) {
+      reachable.push_back(peer.id);
+    }
+  }
+  return reachable;
+}
+
+std::vector<VmId> PeerExchange::Serving(Instant aNow) const
+{
+  std::vector<VmId> serving = this->Reachable(aNow);
+  std::erase_if(serving, [&](const VmId& aPeer) {
+    return this->states.at(aPeer).state.drainState != PeerDrainState::Serving;
+  });
+  return serving;
+}
+
+std::uint64_t PeerExchange::VersionOf(const VmId& aPeer) const
+{
+  const auto state = this->states.find(aPeer);
+  return state == this->states.end() ? 0 : state->second.state.configurationVersion;
+}
+
+} // namespace mustardshift
--- /dev/null
+++ b/packages/daemon/peer/PeerExchange.h
@@ -0,0 +1,134 @@
+#pragma once
+
+#include "adapters/peer/PeerNode.h"
+#include "core/base/Instant.h"
+#include "core/configuration/ConfigurationTrust.h"
+#include "core/rate/OrganisationQuotaTable.h"
+#include "protocol/peer/KnownPrimary.h"
+#include "protocol/peer/PeerMessage.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace mustardshift {
+
+/** Talks with the other VMs of the cell: pings, loans of quota, pushed configuration changes and
+    questions about primaries.
+
+    Thread safety: the request loop's thread only. */
+class PeerExchange
+{
+public:
+  /** What the exchange learns for others. */
+  struct Hooks
+  {
+    /** A peer knows of this primary. */
+    std::function<void(Instant, const KnownPrimary&)> primaryLearned;
+    /** A peer pushed an accepted change, encoded. */
+    std::function<void(const std::string&)> changePushed;
+    /** A peer has a higher configuration version. */
+    std::function<void()> versionHeard;
+    /** A peer asks whether this VM suspects a primary. */
+    std::function<bool(const KnownPrimary&)> suspects;
+    /** A peer answered such a question about a term. */
+    std::function<void(Instant,
+                       const VmId&,
+                       const FailureDomainName&,
+                       const KnownPrimary&,
+                       std::uint64_t,
+                       bool)>
+      suspicionAnswered;
+    /** The term and primary that this VM knows for each database. */
+    std::function<std::vector<KnownPrimary>()> knownPrimaries;
+    /** The set of reachable peers changed. */
+    std::function<void(Instant, const std::vector<VmId>&)> membersChanged;
+  };
+
+  PeerExchange(VmId aSelf,
+               std::uint64_t aIncarnation,
+               FailureDomainName aFailureDomain,
+               ConfigurationTrust& aTrust,
+               OrganisationQuotaTable& aQuota,
+               Hooks aHooks);
+
+  /** Starts to use a node. Precondition: the node outlives the exchange's use. */
+  void Use(PeerNode& aNode) { this->node = &aNode; }
+
+  /** Sets the peers of the cell. */
+  void SetPeers(const std::vector<PeerAddress>& aPeers);
+
+  /** Pings all peers; call it once a second. */
+  void Ping(Instant aNow);
+
+  /** Asks peers for quota where demand exceeds what this VM holds. */
+  void RequestLoans(Instant aNow);
+
+  void Receive(Instant aNow, const VmId& aPeer, const PeerMessage& aMessage);
+
+  /** Sends an accepted change to all peers. */
+  void PushChange(std::uint64_t aVersion, const std::string& aEncodedChange);
+  /** Tells all peers of a recorded primary. */
+  void Announce(const KnownPrimary& aPrimary);
+  /** Asks all peers whether they suspect a primary. */
+  void QuerySuspicion(Instant aNow, const KnownPrimary& aSuspected);
+
+  void SetDrainState(PeerDrainState aState) { this->drainState = aState; }
+  void SetHeldShards(std::vector<std::uint32_t> aShards) { this->heldShards = std::move(aShards); }
+
+  /** Peers that answered a ping lately. */
+  std::vector<VmId> Reachable(Instant aNow) const;
+  /** Reachable peers that take new work. */
+  std::vector<VmId> Serving(Instant aNow) const;
+  /** Configuration version that a peer reported last. */
+  std::uint64_t VersionOf(const VmId& aPeer) const;
+  const std::vector<PeerAddress>& Peers() const { return this->peers; }
+
+private:
+  struct Peer
+  {
+    Instant lastPong{};
+    PeerState state;
+    std::uint64_t incarnation = 0;
+    std::set<VmIncarnation> knownVms;
+    /** Registrations that were sent to the peer last. */
+    std::set<VmIncarnation> sentVms;
+    unsigned pongsSinceVmsSent = 0;
+  };
+
+  PeerHeader MakeHeader(std::uint64_t aAnswers = 0);
+  PeerState MakeState(Instant aNow, const VmId& aPeer);
+  void Broadcast(const std::function<PeerMessage()>& aMake);
+  void On(Instant aNow, const VmId& aPeer, const mustardshift::Ping& aMessage);
+  void On(Instant aNow, const VmId& aPeer, const Pong& aMessage);
+  void On(Instant aNow, const VmId& aPeer, const SuspicionQuery& aMessage);
+  void On(Instant aNow, const VmId& aPeer, const SuspicionAnswer& aMessage);
+  void On(Instant aNow, const VmId& aPeer, const QuotaLoanRequestMessage& aMessage);
+  void On(Instant aNow, const VmId& aPeer, const QuotaLoanGrantMessage& aMessage);
+  void On(Instant aNow, const VmId& aPeer, const ConfigurationPush& aMessage);
+  void On(Instant aNow, const VmId& aPeer, const PrimaryChanged& aMessage);
+
+  VmId self;
+  std::uint64_t incarnation;
+  FailureDomainName failureDomain;
+  ConfigurationTrust& trust;
+  OrganisationQuotaTable& quota;
+  Hooks hooks;
+  PeerNode* node = nullptr;
+  std::vector<PeerAddress> peers;
+  std::map<VmId, Peer> states;
+  std::vector<VmId> lastReachable;
+  std::uint64_t lastMessageId = 0;
+  /** When messages that await an answer were sent. */
+  std::map<std::uint64_t, Instant> sentAt;
+  std::map<std::uint64_t, std::uint64_t> queriedTerms;
+  std::size_t nextPrimary = 0;
+  PeerDrainState drainState = PeerDrainState::Serving;
+  std::vector<std::uint32_t> heldShards;
+};
+
+} // namespace mustardshift
--- a/packages/daemon/request/DatabaseDispatcher.cpp
+++ b/packages/daemon/request/DatabaseDispatcher.cpp
@@ -109,15 +109,14 @@
       ReplicaView view;
       view.address = configured.address;
       view.isLocal = configured.failureDomain == this->failureDomain;
-      found =
-        this->servers
-          .emplace(
-            configured.address,
-            Server{ view,
-                    std::move(pool),
-                    std::make_shared<DatabaseServerClient>(configured.address, this->userAgent),
-                    this->MakeQueue() })
-          .first;
+      found = this->servers
+                .emplace(configured.address,
+                         Server{ view,
+                                 std::move(pool),
+                                 std::make_shared<DatabaseServerClient>(configured.address,
+                                                                        this->userAgent),
+                                 this->MakeQueue() })
+                .first;
     }
     found->second.view.inService =
       !aConfiguration.drainedFailureDomains.contains(configured.failureDomain);
@@ -198,8 +197,7 @@
 void DatabaseDispatcher::Enqueue(Instant aNow, Queue& aQueue, Operation aOperation)
 {
   const auto operation = std::make_shared<Operation>(std::move(aOperation));
-  const Outcome<void> pushed =
-    aQueue.Push(operation->organisation, operation, operation->deadline);
+  const Outcome<void> pushed = aQueue.Push(operation->organisation, operation, operation->deadline);
   if (!pushed) {
     operation->refuse(aNow, pushed.error());
     return;
@@ -311,10 +309,10 @@
 }
 
 PlannedRead DatabaseDispatcher::PlanRead(Instant aNow,
-                                      const SessionToken& aToken,
-                                      Duration aFreshness,
-                                      Instant aDeadline,
-                                      const std::set<ServerAddress>& aExcluded)
+                                         const SessionToken& aToken,
+                                         Duration aFreshness,
+                                         Instant aDeadline,
+                                         const std::set<ServerAddress>& aExcluded)
 {
   ReadRequirement requirement;
   requirement.floor = aToken.FloorFor(this->group.name);
@@ -494,11 +492,11 @@
   return count;
 }
 
-unsigned DatabaseDispatcher::OpenConnections() const
+unsigned DatabaseDispatcher::MostConnections() const
 {
   unsigned count = 0;
   for (const auto& [address, server] : this->servers) {
-    count += server.pool->OpenConnections();
+    count = std::max(count, server.pool->OpenConnections());
   }
   return count;
 }
--- a/packages/daemon/request/DatabaseDispatcher.h
+++ b/packages/daemon/request/DatabaseDispatcher.h
@@ -8,8 +8,8 @@
 #include "core/session/SessionToken.h"
 #include "daemon/loop/EventLoop.h"
 #include "daemon/request/GroupPrimary.h"
-#include "daemon/request/PlannedRead.h"
 #include "daemon/request/Operation.h"
+#include "daemon/request/PlannedRead.h"
 #include "daemon/request/ServerPool.h"
 
 #include <functional>
@@ -32,8 +32,7 @@
   using ConfirmCallback = std::function<void(Instant, Outcome<void>)>;
   using ProbeCallback =
     std::function<void(Instant, const ServerAddress&, const Outcome<database::v1::ServerReport>&)>;
-  using LookUpCallback =
-    std::function<void(Instant, Outcome<database::v1::LookUpRequestResponse>)>;
+  using LookUpCallback = std::function<void(Instant, Outcome<database::v1::LookUpRequestResponse>)>;
 
   /** @param aUserAgent  identifies this VM to the servers.
       @param aFailureDomain  of this VM. */
@@ -74,10 +73,10 @@
   /** Decides where a read goes.
       @param aExcluded  servers that this read has already failed on. */
   PlannedRead PlanRead(Instant aNow,
-                    const SessionToken& aToken,
-                    Duration aFreshness,
-                    Instant aDeadline,
-                    const std::set<ServerAddress>& aExcluded);
+                       const SessionToken& aToken,
+                       Duration aFreshness,
+                       Instant aDeadline,
+                       const std::set<ServerAddress>& aExcluded);
 
   /** Says whether a server's answer may be passed on to a session that requires aFloor. */
   bool MayPassOn(const ServerAddress& aServer,
@@ -112,7 +111,8 @@
   const GroupPrimary& Primary() const { return this->primary; }
   bool IsInService() const { return this->group.inService; }
   std::size_t QueuedOperations() const;
-  unsigned OpenConnections() const;
+  /** Connections to the server that has the most. */
+  unsigned MostConnections() const;
 
   /** Opens connections ahead of their use, one for each server. */
   void OpenAhead(Instant aNow);
--- a/packages/protocol/peer/PeerMessage.h
+++ b/packages/protocol/peer/PeerMessage.h
@@ -4,8 +4,8 @@
 #include "protocol/peer/Ping.h"
 #include "protocol/peer/Pong.h"
 #include "protocol/peer/PrimaryChanged.h"
-#include "protocol/peer/QuotaLoanGrant.h"
-#include "protocol/peer/QuotaLoanRequest.h"
+#include "protocol/peer/QuotaLoanGrantMessage.h"
+#include "protocol/peer/QuotaLoanRequestMessage.h"
 #include "protocol/peer/SuspicionAnswer.h"
 #include "protocol/peer/SuspicionQuery.h"
 
@@ -19,8 +19,8 @@
                                  Pong,
                                  SuspicionQuery,
                                  SuspicionAnswer,
-                                 QuotaLoanRequest,
-                                 QuotaLoanGrant,
+                                 QuotaLoanRequestMessage,
+                                 QuotaLoanGrantMessage,
                                  ConfigurationPush,
                                  PrimaryChanged>;
 
--- a/packages/protocol/peer/PeerMessageCodec.cpp
+++ b/packages/protocol/peer/PeerMessageCodec.cpp
@@ -31,8 +31,15 @@
 constexpr const char* kDrainState = "x";
 constexpr const char* kFailureDomain = "z";
 constexpr const char* kOrganisation = "o";
-constexpr const char* kRate = "n";
+constexpr const char* kNumber = "n";
 constexpr const char* kTokens = "t";
+constexpr const char* kUnits = "w";
+constexpr const char* kLoan = "l";
+constexpr const char* kLender = "e";
+constexpr const char* kBorrower = "g";
+constexpr const char* kBorrowerIncarnation = "h";
+constexpr const char* kIsExtension = "y";
+constexpr const char* kUnresolved = "j";
 constexpr const char* kDuration = "u";
 constexpr const char* kChange = "b";
 
@@ -73,7 +80,14 @@
     this->WriteAge(kAge, aState.confirmationAge);
     this->json[kPlatformReachable] = aState.platformReachable;
     if (aState.knownVms) {
-      this->json[kKnownVms] = NamesToJson(*aState.knownVms);
+      Json array = Json::array();
+      for (const VmIncarnation& known : *aState.knownVms) {
+        array.push_back(Json::array({ known.vm.Text(), known.incarnation }));
+      }
+      this->json[kKnownVms] = std::move(array);
+    }
+    if (aState.hasUnresolvedChange) {
+      this->json[kUnresolved] = true;
     }
     if (!aState.primaries.empty()) {
       Json array = Json::array();
@@ -112,6 +126,17 @@
     this->json[aKey] = aAmount;
   }
 
+  void WriteLoan(const QuotaLoanId& aLoan)
+  {
+    this->json[kLoan] = Json::array({ aLoan.lender.Text(), aLoan.lenderIncarnation, aLoan.number });
+  }
+
+  void WriteUnits(QuotaUnits aUnits)
+  {
+    this->valid = this->valid && aUnits >= 0;
+    this->json[kUnits] = static_cast<std::uint64_t>(aUnits);
+  }
+
   void WriteValue(const char* aKey, Json aValue) { this->json[aKey] = std::move(aValue); }
 
   bool IsValid() const { return this->valid; }
@@ -181,6 +206,28 @@
     return this->ReadDuration(aKey);
   }
 
+  bool Has(const char* aKey) const { return this->json.contains(aKey); }
+
+  QuotaLoanId ReadLoan()
+  {
+    const Json& value = this->Find(kLoan);
+    if (!value.is_array() || value.size() != 3) {
+      this->valid = false;
+      return {};
+    }
+    return { VmId(this->TextOf(value[0])), this->NumberOf(value[1]), this->NumberOf(value[2]) };
+  }
+
+  QuotaUnits ReadUnits()
+  {
+    const std::uint64_t units = this->ReadNumber(kUnits);
+    if (units > static_cast<std::uint64_t>(kQuotaUnitsTotal)) {
+      this->valid = false;
+      return 0;
+    }
+    return static_cast<QuotaUnits>(units);
+  }
+
   KnownPrimary ReadPrimary(const char* aKey) { return this->PrimaryOf(this->Find(aKey)); }
 
   PeerHeader ReadHeader()
@@ -199,10 +246,11 @@
     state.configurationVersion = this->ReadNumber(kConfigurationVersion);
     state.confirmationAge = this->ReadAge(kAge);
     state.platformReachable = this->ReadFlag(kPlatformReachable);
+    state.hasUnresolvedChange = this->json.contains(kUnresolved) && this->ReadFlag(kUnresolved);
     if (this->json.contains(kKnownVms)) {
       state.knownVms.emplace();
       for (const Json& item : this->Items(kKnownVms)) {
-        state.knownVms->emplace_back(this->TextOf(item));
+        state.knownVms->push_back(this->IncarnationOf(item));
       }
     }
     for (const Json& item : this->Items(kPrimaries)) {
@@ -268,6 +316,15 @@
     return aValue.get<std::string>();
   }
 
+  VmIncarnation IncarnationOf(const Json& aValue)
+  {
+    if (!aValue.is_array() || aValue.size() != 2) {
+      this->valid = false;
+      return {};
+    }
+    return { VmId(this->TextOf(aValue[0])), this->NumberOf(aValue[1]) };
+  }
+
   KnownPrimary PrimaryOf(const Json& aValue)
   {
     if (!aValue.is_array() || aValue.size() != 3) {
@@ -309,19 +366,32 @@
   aWriter.WriteAge(kAge, aMessage.platformAnswerAge);
 }
 
-void WriteBody(FieldWriter& aWriter, const QuotaLoanRequest& aMessage)
+void WriteBody(FieldWriter& aWriter, const QuotaLoanRequestMessage& aMessage)
 {
-  aWriter.WriteValue(kOrganisation, aMessage.organisation.Text());
-  aWriter.WriteAmount(kRate, aMessage.rate);
-  aWriter.WriteAmount(kTokens, aMessage.tokens);
+  const QuotaLoanRequest& request = aMessage.request;
+  aWriter.WriteValue(kOrganisation, request.organisation.Text());
+  aWriter.WriteValue(kLender, request.lender.Text());
+  aWriter.WriteValue(kBorrower, request.borrower.Text());
+  aWriter.WriteValue(kBorrowerIncarnation, request.borrowerIncarnation);
+  aWriter.WriteValue(kNumber, request.number);
+  aWriter.WriteUnits(request.units);
+  if (request.extends) {
+    aWriter.WriteLoan(*request.extends);
+  }
 }
 
-void WriteBody(FieldWriter& aWriter, const QuotaLoanGrant& aMessage)
+void WriteBody(FieldWriter& aWriter, const QuotaLoanGrantMessage& aMessage)
 {
-  aWriter.WriteValue(kOrganisation, aMessage.organisation.Text());
-  aWriter.WriteAmount(kRate, aMessage.rate);
-  aWriter.WriteAmount(kTokens, aMessage.tokens);
-  aWriter.WriteDuration(kDuration, aMessage.duration);
+  const QuotaLoanGrant& grant = aMessage.grant;
+  aWriter.WriteValue(kOrganisation, grant.organisation.Text());
+  aWriter.WriteLoan(grant.loan);
+  aWriter.WriteValue(kBorrower, grant.borrower.Text());
+  aWriter.WriteValue(kBorrowerIncarnation, grant.borrowerIncarnation);
+  aWriter.WriteValue(kNumber, grant.requestNumber);
+  aWriter.WriteValue(kIsExtension, grant.isExtension);
+  aWriter.WriteUnits(grant.units);
+  aWriter.WriteAmount(kTokens, grant.tokens);
+  aWriter.WriteDuration(kDuration, grant.duration);
 }
 
 void WriteBody(FieldWriter& aWriter, const ConfigurationPush& aMessage)
@@ -358,19 +428,32 @@
   aMessage.platformAnswerAge = aReader.ReadAge(kAge);
 }
 
-void ReadBody(FieldReader& aReader, QuotaLoanRequest& aMessage)
+void ReadBody(FieldReader& aReader, QuotaLoanRequestMessage& aMessage)
 {
-  aMessage.organisation = OrganisationName(aReader.ReadText(kOrganisation));
-  aMessage.rate = aReader.ReadAmount(kRate);
-  aMessage.tokens = aReader.ReadAmount(kTokens);
+  QuotaLoanRequest& request = aMessage.request;
+  request.organisation = OrganisationName(aReader.ReadText(kOrganisation));
+  request.lender = VmId(aReader.ReadText(kLender));
+  request.borrower = VmId(aReader.ReadText(kBorrower));
+  request.borrowerIncarnation = aReader.ReadNumber(kBorrowerIncarnation);
+  request.number = aReader.ReadNumber(kNumber);
+  request.units = aReader.ReadUnits();
+  if (aReader.Has(kLoan)) {
+    request.extends = aReader.ReadLoan();
+  }
 }
 
-void ReadBody(FieldReader& aReader, QuotaLoanGrant& aMessage)
+void ReadBody(FieldReader& aReader, QuotaLoanGrantMessage& aMessage)
 {
-  aMessage.organisation = OrganisationName(aReader.ReadText(kOrganisation));
-  aMessage.rate = aReader.ReadAmount(kRate);
-  aMessage.tokens = aReader.ReadAmount(kTokens);
-  aMessage.duration = aReader.ReadDuration(kDuration);
+  QuotaLoanGrant& grant = aMessage.grant;
+  grant.organisation = OrganisationName(aReader.ReadText(kOrganisation));
+  grant.loan = aReader.ReadLoan();
+  grant.borrower = VmId(aReader.ReadText(kBorrower));
+  grant.borrowerIncarnation = aReader.ReadNumber(kBorrowerIncarnation);
+  grant.requestNumber = aReader.ReadNumber(kNumber);
+  grant.isExtension = aReader.ReadFlag(kIsExtension);
+  grant.units = aReader.ReadUnits();
+  grant.tokens = aReader.ReadAmount(kTokens);
+  grant.duration = aReader.ReadDuration(kDuration);
 }
 
 void ReadBody(FieldReader& aReader, ConfigurationPush& aMessage)
--- a/packages/protocol/peer/PeerState.h
+++ b/packages/protocol/peer/PeerState.h
@@ -2,6 +2,7 @@
 
 #include "core/base/Instant.h"
 #include "core/base/Names.h"
+#include "core/membership/VmIncarnation.h"
 #include "protocol/peer/KnownPrimary.h"
 #include "protocol/peer/PeerDrainState.h"
 
@@ -22,9 +23,11 @@
   std::optional<Duration> confirmationAge;
   /** False when the sender's last requests to the platform failed. */
   bool platformReachable = false;
-  /** VMs that the sender knows to be registered, itself included. Nothing when the sender leaves
+  /** True while the sender does not know whether a change that it sent was accepted. */
+  bool hasUnresolvedChange = false;
+  /** Registrations that the sender knows, itself included. Nothing when the sender leaves
       the list out, for instance because it has not changed; a receiver then keeps the last one. */
-  std::optional<std::vector<VmId>> knownVms;
+  std::optional<std::vector<VmIncarnation>> knownVms;
   /** Databases whose term the sender wants to tell; a receiver merges by the highest term. */
   std::vector<KnownPrimary> primaries;
   /** All databases whose primary the sender suspects. */
--- a/packages/protocol/peer/tests/PeerMessageCodecTest.cpp
+++ b/packages/protocol/peer/tests/PeerMessageCodecTest.cpp
@@ -43,15 +43,9 @@
           header, this->Few() == 0, FailureDomainName(this->Text(0)), this->Primary(), this->Age()
         };
       case 4:
-        return QuotaLoanRequest{
-          header, OrganisationName(this->Text(0)), this->Amount(), this->Amount()
-        };
+        return QuotaLoanRequestMessage{ header, this->LoanRequest() };
       case 5:
-        return QuotaLoanGrant{ header,
-                               OrganisationName(this->Text(0)),
-                               this->Amount(),
-                               this->Amount(),
-                               this->Age().value_or(Duration{ 1 }) };
+        return QuotaLoanGrantMessage{ header, this->LoanGrant() };
       case 6:
         return ConfigurationPush{ header, this->random(), this->Text(0) };
       default:
@@ -73,6 +67,38 @@
     return text;
   }
 
+  QuotaLoanId Loan() { return { VmId(this->Text(0)), this->random(), this->random() }; }
+
+  QuotaLoanRequest LoanRequest()
+  {
+    QuotaLoanRequest request;
+    request.organisation = OrganisationName(this->Text(0));
+    request.lender = VmId(this->Text(0));
+    request.borrower = VmId(this->Text(0));
+    request.borrowerIncarnation = this->random();
+    request.number = this->random();
+    request.units = static_cast<QuotaUnits>(this->random() % kQuotaUnitsTotal);
+    if (this->Few() == 0) {
+      request.extends = this->Loan();
+    }
+    return request;
+  }
+
+  QuotaLoanGrant LoanGrant()
+  {
+    QuotaLoanGrant grant;
+    grant.organisation = OrganisationName(this->Text(0));
+    grant.loan = this->Loan();
+    grant.borrower = VmId(this->Text(0));
+    grant.borrowerIncarnation = this->random();
+    grant.requestNumber = this->random();
+    grant.isExtension = this->Few() == 0;
+    grant.units = static_cast<QuotaUnits>(this->random() % kQuotaUnitsTotal);
+    grant.tokens = this->Amount();
+    grant.duration = this->Age().value_or(Duration{ 1 });
+    return grant;
+  }
+
   double Amount() { return static_cast<double>(this->random() % 100000) / 7.0; }
 
   std::optional<Duration> Age()
@@ -94,10 +120,11 @@
     state.configurationVersion = this->random();
     state.confirmationAge = this->Age();
     state.platformReachable = this->Few() == 0;
+    state.hasUnresolvedChange = this->Few() == 0;
     if (this->Few() != 0) {
       state.knownVms.emplace();
       for (std::uint64_t left = this->Few(); left > 0; --left) {
-        state.knownVms->emplace_back(this->Text(0));
+        state.knownVms->push_back({ VmId(this->Text(0)), this->random() });
       }
     }
     for (std::uint64_t left = this->Few(); left > 0; --left) {
@@ -205,13 +232,22 @@
     const PeerHeader header{ VmId("vm-1"), 1, 1, 0 };
     CPPUNIT_ASSERT(!EncodePeerMessage(Ping{ { VmId("vm-1"), 1, 0, 0 }, {} }).has_value());
     CPPUNIT_ASSERT(!EncodePeerMessage(Ping{ { VmId(), 1, 1, 0 }, {} }).has_value());
-    const double notANumber = std::numeric_limits<double>::quiet_NaN();
-    for (const double amount : { -1.0, notANumber, std::numeric_limits<double>::infinity() }) {
-      const QuotaLoanRequest request{ header, OrganisationName("o"), amount, 0 };
+    Section("a loan request for a negative part", [&] {
+      QuotaLoanRequestMessage request{ header, {} };
+      request.request.units = -1;
       CPPUNIT_ASSERT(!EncodePeerMessage(request).has_value());
+    });
+    const double notANumber = std::numeric_limits<double>::quiet_NaN();
+    for (const double tokens : { -1.0, notANumber, std::numeric_limits<double>::infinity() }) {
+      QuotaLoanGrantMessage grant{ header, {} };
+      grant.grant.tokens = tokens;
+      CPPUNIT_ASSERT(!EncodePeerMessage(grant).has_value());
     }
-    const QuotaLoanGrant grant{ header, OrganisationName("o"), 1, 1, Duration{ -1 } };
-    CPPUNIT_ASSERT(!EncodePeerMessage(grant).has_value());
+    Section("a grant of negative duration", [&] {
+      QuotaLoanGrantMessage grant{ header, {} };
+      grant.grant.duration = Duration{ -1 };
+      CPPUNIT_ASSERT(!EncodePeerMessage(grant).has_value());
+    });
   }
 
   void KeepsPingsSmall()
