--- a/bench/emulator/EmulatorMain.cpp
+++ b/bench/emulator/EmulatorMain.cpp
@@ -1,4 +1,5 @@
 #include "emulator/Deployment.h"
+#include "emulator/FailoverMeasures.h"
 #include "emulator/FairnessMeasures.h"
 #include "emulator/MeasureReport.h"
 #include "emulator/QuotaMeasures.h"
@@ -22,7 +23,7 @@
 ABSL_FLAG(std::string, deployment, "", "kigali or aqaba; both when empty");
 ABSL_FLAG(std::vector<std::string>,
           groups,
-          std::vector<std::string>({ "reads", "fairness", "quota" }),
+          std::vector<std::string>({ "reads", "failover", "fairness", "quota" }),
           "groups of measures to run");
 
 namespace {
@@ -33,6 +34,7 @@
 
 constexpr std::pair<const char*, Group> kGroups[] = {
   { "reads", MeasureReads },
+  { "failover", MeasureFailover },
   { "fairness", MeasureFairness },
   { "quota", MeasureQuota },
 };
--- a/bench/emulator/FairnessEmulation.cpp
+++ b/bench/emulator/FairnessEmulation.cpp
@@ -24,7 +24,7 @@
 constexpr double kInsideRate = 0.9;
 constexpr double kLoadWithoutFlood = 0.6;
 constexpr Duration kStart = std::chrono::seconds(20);
-constexpr Duration kLoanTick = std::chrono::milliseconds(50);
+constexpr Duration kLoanTick = std::chrono::milliseconds(250);
 
 struct Statement
 {
--- a/bench/emulator/QuotaEmulation.cpp
+++ b/bench/emulator/QuotaEmulation.cpp
@@ -25,8 +25,12 @@
 /** Before the count starts, little is asked for, so that the buckets fill: shards start empty. */
 constexpr Duration kStart = seconds(20);
 constexpr double kStartLoad = 0.3;
-constexpr Duration kLoanTick = milliseconds(50);
-constexpr Duration kShardPoll = seconds(1);
+/** Intervals of the daemon's loops. */
+constexpr Duration kLoanTick = milliseconds(250);
+constexpr Duration kPlatformPoll = seconds(1);
+constexpr Duration kRegistrationPoll = seconds(2);
+/** Configuration head, databases, shards. */
+constexpr std::uint64_t kReadsPerPoll = 3;
 constexpr Duration kRegistrationRenewal = seconds(200);
 constexpr Duration kVmChangeInterval = seconds(30);
 constexpr Duration kCallerMove = seconds(20);
@@ -142,7 +146,7 @@
     this->all.push_back(vm);
     const Duration phase = this->random.Between(Duration(0), kLoanTick);
     this->queue.After(phase, [this, vm] {
-      this->queue.Every(kShardPoll, [this, vm] {
+      this->queue.Every(kPlatformPoll, [this, vm] {
         this->PollShards(vm);
         return vm->isUp;
       });
@@ -150,6 +154,10 @@
         this->AskLoans(vm);
         return vm->isUp;
       });
+      this->queue.Every(kRegistrationPoll, [this, vm] {
+        this->result.tableReads += vm->isUp && this->IsPlatformUp() ? 1 : 0;
+        return vm->isUp;
+      });
       this->queue.Every(kRegistrationRenewal, [this, vm] {
         this->result.tableWrites += vm->isUp && this->IsPlatformUp() ? 1 : 0;
         return vm->isUp;
@@ -157,13 +165,12 @@
     });
   }
 
-  /** One poll of the daemon's control loop: configuration head, registrations, shards. */
   void PollShards(const VmPointer& aVm)
   {
     if (!aVm->isUp || !this->IsPlatformUp()) {
       return;
     }
-    this->result.tableReads += 3;
+    this->result.tableReads += kReadsPerPoll;
     this->queue.After(kPlatformDelay, [this, aVm, read = this->rows] {
       if (!aVm->isUp) {
         return;
--- a/bench/tests/EmulationTest.cpp
+++ b/bench/tests/EmulationTest.cpp
@@ -1,4 +1,5 @@
 #include "emulator/Deployment.h"
+#include "emulator/FailoverMeasures.h"
 #include "emulator/FairnessEmulation.h"
 #include "emulator/MeasureReport.h"
 #include "emulator/QuotaEmulation.h"
@@ -218,6 +219,58 @@
   }
 };
 
+/** Guards against long gaps without a primary and against lost acknowledged writes. */
+class FailoverEmulationTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(FailoverEmulationTest);
+  CPPUNIT_TEST(GapIsShort);
+  CPPUNIT_TEST(GapIsBoundedWithoutPlatform);
+  CPPUNIT_TEST(UnsafeChoiceLosesWrites);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  static constexpr std::size_t kRuns = 8;
+
+  void GapIsShort()
+  {
+    for (const Deployment& deployment : Deployments()) {
+      for (const PrimaryFault fault :
+           { PrimaryFault::Killed, PrimaryFault::Frozen, PrimaryFault::CutOff }) {
+        Section(deployment.name, [&] {
+          const FailoverResult result =
+            EmulateFailover(deployment, kSeed, kRuns, fault, PlatformState::Up);
+          CPPUNIT_ASSERT_EQUAL(std::string(), result.firstFailure);
+          CPPUNIT_ASSERT_EQUAL(kRuns, result.gaps.size());
+          CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, result.lostOrDoubled);
+          CPPUNIT_ASSERT(result.gaps[kRuns / 2] <= 2'000);
+          CPPUNIT_ASSERT(result.gaps.back() <= 4'000);
+          Section("a lease alone misses the bound",
+                  [&] { CPPUNIT_ASSERT(result.baselineGaps[kRuns / 2] > 2'000); });
+        });
+      }
+    }
+  }
+
+  void GapIsBoundedWithoutPlatform()
+  {
+    for (const PlatformState state : { PlatformState::Slow, PlatformState::Down }) {
+      const FailoverResult result =
+        EmulateFailover(Deployments().front(), kSeed, kRuns, PrimaryFault::Killed, state);
+      CPPUNIT_ASSERT_EQUAL(kRuns, result.gaps.size());
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, result.lostOrDoubled);
+      CPPUNIT_ASSERT(result.gaps.back() <= 16'000);
+    }
+  }
+
+  void UnsafeChoiceLosesWrites()
+  {
+    constexpr std::size_t kManyRuns = 200;
+    const FailoverResult result = EmulateFailover(
+      Deployments().front(), kSeed, kManyRuns, PrimaryFault::Killed, PlatformState::Up, true);
+    CPPUNIT_ASSERT(result.lostOrDoubled > 0);
+  }
+};
+
 /** Guards against reports that call a missed bound met. */
 class MeasureReportTest : public CppUnit::TestFixture
 {
@@ -241,6 +294,7 @@
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ReadEmulationTest);
+CPPUNIT_TEST_SUITE_REGISTRATION(FailoverEmulationTest);
 CPPUNIT_TEST_SUITE_REGISTRATION(FairnessEmulationTest);
 CPPUNIT_TEST_SUITE_REGISTRATION(QuotaEmulationTest);
 CPPUNIT_TEST_SUITE_REGISTRATION(MeasureReportTest);
--- a/packages/core/tests/FailoverModel.cpp
+++ b/packages/core/tests/FailoverModel.cpp
@@ -239,6 +239,36 @@
   return std::nullopt;
 }
 
+std::optional<Duration> FailoverModel::AcknowledgementGap() const
+{
+  std::optional<Duration> last;
+  std::optional<Duration> first;
+  for (const Acknowledged& write : this->acknowledged) {
+    if (write.position.term < this->row.term) {
+      last = std::max(last.value_or(write.at), write.at);
+    } else {
+      first = std::min(first.value_or(write.at), write.at);
+    }
+  }
+  if (!last || !first) {
+    return std::nullopt;
+  }
+  return *first - *last;
+}
+
+std::size_t FailoverModel::LostOrDoubledCount() const
+{
+  std::map<std::uint64_t, std::size_t> counts;
+  for (const Entry& entry : this->servers[this->PrimaryServer()].log) {
+    ++counts[entry.id];
+  }
+  return static_cast<std::size_t>(std::count_if(
+    this->acknowledged.begin(), this->acknowledged.end(), [&](const Acknowledged& aWrite) {
+      const auto count = counts.find(aWrite.id);
+      return count == counts.end() || count->second != 1;
+    }));
+}
+
 bool FailoverModel::Chance(double aShare)
 {
   return std::uniform_real_distribution<double>(0, 1)(this->random) < aShare;
@@ -261,8 +291,13 @@
   if (this->cuts[aFrom][aTo] || !this->nodes[aTo].alive || (isFaulty && this->Chance(0.3))) {
     return;
   }
-  this->At(
-    isFaulty ? this->Between(20'000, 4'000'000) : this->Between(500, 2'000), aTo, std::move(aRun));
+  Duration delay = isFaulty ? this->Between(20'000, 4'000'000)
+                            : this->Between(this->options.shortestLatency.count(),
+                                            this->options.longestLatency.count());
+  if (aFrom == this->PlatformNode()) {
+    delay += this->platformDelay;
+  }
+  this->At(delay, aTo, std::move(aRun));
 }
 
 void FailoverModel::Fail(const std::string& aWhat)
--- a/packages/core/tests/FailoverModel.h
+++ b/packages/core/tests/FailoverModel.h
@@ -46,6 +46,9 @@
   double actionFaults = 0;
   /** Share of messages that are lost or late. */
   double messageFaults = 0.01;
+  /** One way, between any two nodes. */
+  Duration shortestLatency{ 500 };
+  Duration longestLatency{ 2'000 };
 };
 
 /** Times of the steps of one promotion, measured from the fault. */
@@ -89,6 +92,8 @@
   void InjectRandomFault();
   /** Ends all faults; up to one server may stay down. */
   void Heal(bool aLeaveOneServerDown);
+  /** Delays each answer of the platform. */
+  void SlowPlatform(Duration aDelay) { this->platformDelay = aDelay; }
   /** Notes the moment for TimesSinceMark. */
   void Mark();
   /** Nothing when no primary was recorded since the mark, or not all VMs know it. */
@@ -99,6 +104,11 @@
   std::size_t AcknowledgedCount() const { return this->acknowledged.size(); }
   /** Time of the first acknowledgement after aTime in the recorded term; nothing if none came. */
   std::optional<Duration> AcknowledgedAfter(Duration aTime) const;
+  /** Time from the last acknowledgement of an earlier term to the first one of the recorded term;
+      nothing when either is missing. */
+  std::optional<Duration> AcknowledgementGap() const;
+  /** Acknowledged writes that the recorded primary's log does not hold exactly once. */
+  std::size_t LostOrDoubledCount() const;
   /** The first broken property, or empty. */
   const std::string& Violation() const { return this->violation; }
 
@@ -210,6 +220,7 @@
   std::size_t rowWriter = 0;
   std::uint64_t nextWrite = 1;
   Duration mark{ 0 };
+  Duration platformDelay{ 0 };
 
   std::string violation;
   std::vector<Acknowledged> acknowledged;
