--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -9,6 +9,14 @@
 [ -n "${SKIP_BUILD:-}" ] || scripts/build.sh
 source scripts/cluster.sh
 trap stop_cluster EXIT
+# Addresses of its own, so that another deployment on this machine is not in the way.
+platform=127.40.9.1:7000
+servers=(127.40.1.10:7100 127.40.2.10:7100 127.40.3.10:7100)
+address_of() {
+  local domain=${1:3:1} letter=${1:4:1} host=1
+  [ "$letter" = b ] && host=2
+  echo "127.40.$domain.$host:$2"
+}
 load=$build/bench/mustardshift_load
 failed=0
 
@@ -38,8 +46,8 @@
       echo "      - {address: \"${servers[index]}\", failure_domain: fd-$((index + 1))}"
     done
     echo "routes:"
-    echo "  - {name: bookings, organisation: blue-lagoon, database: boutiques}"
-    echo "  - {name: rides, organisation: city-buses, database: boutiques}"
+    echo "  - {name: bookings, organisation: blue-lagoon, database: boutiques, freshness: 2s}"
+    echo "  - {name: rides, organisation: city-buses, database: boutiques, freshness: 2s}"
     echo "  - {name: opening-hours, public: true, database: boutiques, freshness: 10s}"
   } >"$work/schema.yaml"
 }
@@ -54,6 +62,10 @@
   write_schema
   for ((attempt = 0; attempt < 40; ++attempt)); do
     ctl schema apply "$work/schema.yaml" >"$work/apply.log" 2>&1 && break
+    if [ "$attempt" = 39 ]; then
+      cat "$work/apply.log" "$work"/vm-1a.log
+      exit 1
+    fi
     sleep 0.5
   done
   # Until a replica is known to be fresh enough, and shards are held, requests may be refused.
