--- a/bench/load/LoadMain.cpp
+++ b/bench/load/LoadMain.cpp
@@ -104,6 +104,7 @@
             << result.direct.Percentile(0.99).count() << " proxied p50_us "
             << result.proxied.Percentile(0.5).count() << " p99_us "
             << result.proxied.Percentile(0.99).count() << " failures " << result.failures
+            << (result.firstRefusal.empty() ? "" : " first refusal " + result.firstRefusal)
             << std::endl;
   return result.failures == 0 ? 0 : kExitViolated;
 }
--- a/bench/load/ReadComparison.cpp
+++ b/bench/load/ReadComparison.cpp
@@ -40,7 +40,7 @@
     request.mutable_execute()->set_statement("GET comparison");
     request.mutable_execute()->set_read_only(true);
     database::v1::Answer answer;
-    return stream->Write(request) && stream->Read(&answer) && answer.id() == lastId &&
+    return stream->Write(request) && stream->Read(&answer) && answer.id() == request.id() &&
            answer.status() == database::v1::ANSWER_STATUS_OK;
   };
   const auto readThroughDaemon = [&] {
@@ -48,12 +48,21 @@
     PrepareCall(context, aKey, std::chrono::seconds(5));
     caller::v1::ExecuteRequest request;
     request.set_route(aRoute);
+    request.set_request_id("comparison-" + std::to_string(++lastId));
     request.set_statement("GET comparison");
     request.set_read_only(true);
     request.set_repeatable(true);
     caller::v1::ExecuteResponse response;
-    return daemon.Stub(0, 0).Execute(&context, request, &response).ok() &&
-           response.outcome().verdict() == caller::v1::VERDICT_RUN;
+    const grpc::Status status = daemon.Stub(0, 0).Execute(&context, request, &response);
+    if (status.ok() && response.outcome().verdict() == caller::v1::VERDICT_RUN) {
+      return true;
+    }
+    if (result.firstRefusal.empty()) {
+      result.firstRefusal = status.ok()
+                              ? response.outcome().reason() + ": " + response.outcome().message()
+                              : status.error_message();
+    }
+    return false;
   };
   const auto measure = [&](const std::function<bool()>& aRead, LatencyHistogram& aHistogram) {
     const auto start = Clock::now();
--- a/bench/load/ReadComparison.h
+++ b/bench/load/ReadComparison.h
@@ -13,6 +13,8 @@
   LatencyHistogram direct;
   LatencyHistogram proxied;
   std::size_t failures = 0;
+  /** Why the daemon refused the first read that it refused. */
+  std::string firstRefusal;
 };
 
 /** Reads a key in turns at a database server and through a daemon, one request at a time, with
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -105,7 +105,7 @@
 judge read-through-daemon "$ratio" "<=" 1.15
 
 say "one daemon"
-start_deployment vm-1a
+start_deployment vm-1a vm-2a
 daemon=${pid_of[vm-1a]}
 memory_kb() { awk '/VmRSS/ { print $2 }' "/proc/$daemon/status"; }
 before=$(processor_ms "$daemon")
@@ -129,7 +129,7 @@
 echo "memory before idle connections: $(memory_kb) KiB"
 
 say "memory with 2,200 idle connections"
-start_deployment vm-1a
+start_deployment vm-1a vm-2a
 daemon=${pid_of[vm-1a]}
 echo "memory without connections: $(memory_kb) KiB"
 start idle "$load" --targets="$(address_of vm-1a 6000)" --idle_connections=2200 --seconds=40
