Serve an organisation's first turn of a round ahead of the others

Cause: a rare request waited behind the whole turns of organisations that always have items waiting, 8 items of the flooding one. Change: as in fair queueing with controlled delay, an organisation that was not served in the present round takes its first turn at once; one that ran empty stays in the round, so it takes no second first turn.

--- a/packages/core/queueing/FairQueue.h
+++ b/packages/core/queueing/FairQueue.h
@@ -21,6 +21,10 @@
     have items waiting, each gets turns in proportion to its weight, whatever the others push. An
     organisation without waiting items collects no credit. Items of one organisation stay in order.
 
+    An organisation that has not been served in the present round takes its first turn ahead of the
+    others, so that a rare request doesn't wait behind the turns of organisations that always have
+    items waiting. Its later turns come in order, so that it gets no more than its weight.
+
     Thread safety: none; one thread owns the queue. */
 template<class Item>
 class FairQueue
@@ -64,7 +68,7 @@
     }
     auto [line, isNew] = this->lines.try_emplace(aOrganisation);
     if (isNew) {
-      this->turns.push_back(aOrganisation);
+      this->firstTurns.push_back(aOrganisation);
     }
     std::list<Entry>& entries = line->second.entries;
     entries.push_back({ std::move(aItem), {} });
@@ -77,24 +81,34 @@
   std::optional<Item> Pop(Instant aNow)
   {
     this->SetExpiredApart(aNow);
-    if (this->turns.empty()) {
-      return std::nullopt;
-    }
-    const OrganisationName organisation = this->turns.front();
-    Line& line = this->lines.at(organisation);
-    if (line.deficit == 0) {
-      line.deficit = this->WeightOf(organisation);
-    }
-    --line.deficit;
-    this->deadlines.erase(line.entries.front().deadline);
-    Item item = std::move(line.entries.front().item);
-    line.entries.pop_front();
-    if (line.entries.empty()) {
-      this->Forget(organisation);
-    } else if (line.deficit == 0) {
-      this->turns.splice(this->turns.end(), this->turns, this->turns.begin());
+    while (true) {
+      std::list<OrganisationName>& present =
+        this->firstTurns.empty() ? this->turns : this->firstTurns;
+      if (present.empty()) {
+        return std::nullopt;
+      }
+      const OrganisationName organisation = present.front();
+      Line& line = this->lines.at(organisation);
+      if (line.entries.empty()) {
+        this->lines.erase(organisation);
+        present.pop_front();
+        continue;
+      }
+      if (line.deficit == 0) {
+        line.deficit = this->WeightOf(organisation);
+      }
+      --line.deficit;
+      this->deadlines.erase(line.entries.front().deadline);
+      Item item = std::move(line.entries.front().item);
+      line.entries.pop_front();
+      if (line.entries.empty()) {
+        line.deficit = 0;
+      }
+      if (line.deficit == 0) {
+        this->turns.splice(this->turns.end(), present, present.begin());
+      }
+      return item;
     }
-    return item;
   }
 
   /** Takes all items whose deadline is aNow or earlier; the caller refuses them with
@@ -156,26 +170,22 @@
       const Place place = this->deadlines.begin()->second;
       this->deadlines.erase(this->deadlines.begin());
       this->expired.push_back(std::move(place.entry->item));
-      std::list<Entry>& entries = this->lines.at(place.organisation).entries;
-      entries.erase(place.entry);
-      if (entries.empty()) {
-        this->Forget(place.organisation);
+      Line& line = this->lines.at(place.organisation);
+      line.entries.erase(place.entry);
+      if (line.entries.empty()) {
+        line.deficit = 0;
       }
     }
   }
 
-  /** Drops an organisation without items, and its unused deficit with it. */
-  void Forget(const OrganisationName& aOrganisation)
-  {
-    this->lines.erase(aOrganisation);
-    this->turns.remove(aOrganisation);
-  }
-
   std::size_t limitPerOrganisation;
   std::size_t limit;
   std::unordered_map<OrganisationName, unsigned> weights;
   std::unordered_map<OrganisationName, Line> lines;
-  /** Organisations that have items, in order of their turns. */
+  /** Organisations that wait for their first turn; they come before `turns`. */
+  std::list<OrganisationName> firstTurns;
+  /** The others in order of their turns. One that has no items left stays until its turn comes, so
+      that it can't take another first turn in the same round. */
   std::list<OrganisationName> turns;
   Deadlines deadlines;
   std::vector<Item> expired;
