--- a/packages/core/queueing/FairQueue.h
+++ b/packages/core/queueing/FairQueue.h
@@ -7,23 +7,23 @@
 
 #include <algorithm>
 #include <cstddef>
-#include <cstdint>
 #include <iterator>
 #include <list>
 #include <map>
 #include <optional>
-#include <set>
 #include <unordered_map>
 #include <utility>
 #include <vector>
 
 namespace mustardshift {
 
-/** Bounded queue that serves organisations by start-time fair queueing: while several organisations
-    have items waiting, each is served in proportion to its weight, whatever the others push, and
-    their items alternate instead of coming in turns. An organisation that takes less than its share
-    is served next when an item of it comes; one without waiting items collects no credit. Items of
-    one organisation stay in order.
+/** Bounded queue that serves organisations by deficit round robin: while several organisations
+    have items waiting, each gets turns in proportion to its weight, whatever the others push. An
+    organisation without waiting items collects no credit. Items of one organisation stay in order.
+
+    An organisation that has not been served in the present round takes its first turn ahead of the
+    others, so that a rare request doesn't wait behind the turns of organisations that always have
+    items waiting. Its later turns come in order, so that it gets no more than its weight.
 
     Thread safety: none; one thread owns the queue. */
 template<class Item>
@@ -50,7 +50,7 @@
   ~FairQueue() = default;
 
   /** Sets an organisation's weight; 1 unless set, and zero counts as 1. Takes effect with the
-      organisation's next item. */
+      organisation's next turn. */
   void SetWeight(const OrganisationName& aOrganisation, unsigned aWeight)
   {
     this->weights[aOrganisation] = std::max(1U, aWeight);
@@ -66,12 +66,11 @@
     if (this->SizeOf(aOrganisation) >= this->limitPerOrganisation) {
       return RefuseNotRun(Reason::QueueFull, "the organisation's part of the queue is full");
     }
-    Line& line = this->lines[aOrganisation];
-    std::list<Entry>& entries = line.entries;
-    if (entries.empty()) {
-      line.start = std::max(line.start, this->virtualTime);
-      this->order.emplace(line.start, aOrganisation);
+    auto [line, isNew] = this->lines.try_emplace(aOrganisation);
+    if (isNew) {
+      this->firstTurns.push_back(aOrganisation);
     }
+    std::list<Entry>& entries = line->second.entries;
     entries.push_back({ std::move(aItem), {} });
     const auto entry = std::prev(entries.end());
     entry->deadline = this->deadlines.emplace(aDeadline, Place{ aOrganisation, entry });
@@ -82,24 +81,34 @@
   std::optional<Item> Pop(Instant aNow)
   {
     this->SetExpiredApart(aNow);
-    if (this->order.empty()) {
-      // No organisation is ahead of another one any more.
-      this->lines.clear();
-      this->virtualTime = 0;
-      return std::nullopt;
-    }
-    const auto [start, organisation] = *this->order.begin();
-    this->order.erase(this->order.begin());
-    this->virtualTime = start;
-    Line& line = this->lines.at(organisation);
-    line.start = start + kVirtualItem / this->WeightOf(organisation);
-    this->deadlines.erase(line.entries.front().deadline);
-    Item item = std::move(line.entries.front().item);
-    line.entries.pop_front();
-    if (!line.entries.empty()) {
-      this->order.emplace(line.start, organisation);
+    while (true) {
+      std::list<OrganisationName>& present =
+        this->firstTurns.empty() ? this->turns : this->firstTurns;
+      if (present.empty()) {
+        return std::nullopt;
+      }
+      const OrganisationName organisation = present.front();
+      Line& line = this->lines.at(organisation);
+      if (line.entries.empty()) {
+        this->lines.erase(organisation);
+        present.pop_front();
+        continue;
+      }
+      if (line.deficit == 0) {
+        line.deficit = this->WeightOf(organisation);
+      }
+      --line.deficit;
+      this->deadlines.erase(line.entries.front().deadline);
+      Item item = std::move(line.entries.front().item);
+      line.entries.pop_front();
+      if (line.entries.empty()) {
+        line.deficit = 0;
+      }
+      if (line.deficit == 0) {
+        this->turns.splice(this->turns.end(), present, present.begin());
+      }
+      return item;
     }
-    return item;
   }
 
   /** Takes all items whose deadline is aNow or earlier; the caller refuses them with
@@ -130,10 +139,6 @@
   }
 
 private:
-  /** Virtual time of an item at weight 1; large enough that the division by a weight is exact
-      within a millionth for weights up to 1000. */
-  static constexpr std::uint64_t kVirtualItem = std::uint64_t{ 1 } << 30U;
-
   struct Entry;
   struct Place
   {
@@ -149,9 +154,8 @@
   struct Line
   {
     std::list<Entry> entries;
-    /** Virtual time from which the first item may be served. It stays when the items run out, so
-        that pushing one at a time brings no more than the weight. */
-    std::uint64_t start = 0;
+    /** Items that the organisation may still send in its present turn. */
+    unsigned deficit = 0;
   };
 
   unsigned WeightOf(const OrganisationName& aOrganisation) const
@@ -169,7 +173,7 @@
       Line& line = this->lines.at(place.organisation);
       line.entries.erase(place.entry);
       if (line.entries.empty()) {
-        this->order.erase({ line.start, place.organisation });
+        line.deficit = 0;
       }
     }
   }
@@ -178,10 +182,11 @@
   std::size_t limit;
   std::unordered_map<OrganisationName, unsigned> weights;
   std::unordered_map<OrganisationName, Line> lines;
-  /** Organisations that have items, by virtual start time. */
-  std::set<std::pair<std::uint64_t, OrganisationName>> order;
-  /** Start time of the item that was served last. */
-  std::uint64_t virtualTime = 0;
+  /** Organisations that wait for their first turn; they come before `turns`. */
+  std::list<OrganisationName> firstTurns;
+  /** The others in order of their turns. One that has no items left stays until its turn comes, so
+      that it can't take another first turn in the same round. */
+  std::list<OrganisationName> turns;
   Deadlines deadlines;
   std::vector<Item> expired;
 };
