Hold quota for 1.05 instead of 1.15 times the demand

Cause: at nine tenths of the rate, a headroom of 1.15 makes the needs of all VMs sum to more than the rate; nobody has any to lend, and loans keep moving.

--- a/packages/core/rate/OrganisationQuota.cpp
+++ b/packages/core/rate/OrganisationQuota.cpp
@@ -37,8 +37,10 @@
 constexpr Duration kShortestWait = milliseconds(1);
 /** A request that asks late at the end of its wait still keeps its place. */
 constexpr Duration kLateAsk = milliseconds(20);
-/** Quota is held for this multiple of the demand, so that chance variations find tokens. */
-constexpr double kHeadroom = 1.15;
+/** Quota is held for this multiple of the demand, so that chance variations find tokens. At 1.15
+   and nine tenths of the rate, all VMs together wanted more than there is, so no one had any to
+   lend and what was lent kept changing hands. */
+constexpr double kHeadroom = 1.05;
 /** A lender keeps one part in this many of its shards, for the first requests that reach it. */
 constexpr QuotaUnits kFloorDivisor = 20;
 /** Demand below this, in requests per second, is none. */
