--- a/packages/core/base/BoundedRing.h
+++ b/packages/core/base/BoundedRing.h
@@ -15,16 +15,19 @@
 
     Thread safety: all methods may be called from any thread. */
 template<class T>
-class BoundedRing {
+class BoundedRing
+{
 public:
   /** Precondition: aCapacity > 0. */
-  explicit BoundedRing(std::size_t aCapacity) {
+  explicit BoundedRing(std::size_t aCapacity)
+  {
     MUSTARDSHIFT_ASSERT(aCapacity > 0);
     this->queue.set_capacity(static_cast<std::ptrdiff_t>(aCapacity));
   }
 
   /** Adds an item; returns false, and leaves the item out, when the ring is full. */
-  bool TryPush(T aItem) {
+  bool TryPush(T aItem)
+  {
     if (!this->queue.try_push(std::move(aItem))) {
       return false;
     }
@@ -33,13 +36,15 @@
   }
 
   /** Adds an item; waits while the ring is full. */
-  void Push(T aItem) {
+  void Push(T aItem)
+  {
     this->queue.push(std::move(aItem));
     this->items.release();
   }
 
   /** Takes the oldest item, or nothing when none comes within aTimeout. */
-  std::optional<T> PopFor(Duration aTimeout) {
+  std::optional<T> PopFor(Duration aTimeout)
+  {
     if (!this->items.try_acquire_for(aTimeout)) {
       return std::nullopt;
     }
--- a/packages/core/tests/BoundedRingTest.cpp
+++ b/packages/core/tests/BoundedRingTest.cpp
@@ -9,14 +9,16 @@
 using test::Section;
 
 /** Guards against items that are lost, reordered or taken in beyond the capacity. */
-class BoundedRingTest : public CppUnit::TestFixture {
+class BoundedRingTest : public CppUnit::TestFixture
+{
   CPPUNIT_TEST_SUITE(BoundedRingTest);
   CPPUNIT_TEST(KeepsOrderAndCapacity);
   CPPUNIT_TEST(HandsEveryItemToTheOtherThread);
   CPPUNIT_TEST_SUITE_END();
 
 public:
-  void KeepsOrderAndCapacity() {
+  void KeepsOrderAndCapacity()
+  {
     BoundedRing<int> ring(2);
     Section("an empty ring gives nothing",
             [&] { CPPUNIT_ASSERT(!ring.PopFor(Duration{ 0 }).has_value()); });
@@ -31,7 +33,8 @@
     });
   }
 
-  void HandsEveryItemToTheOtherThread() {
+  void HandsEveryItemToTheOtherThread()
+  {
     constexpr int kItems = 10000;
     BoundedRing<int> ring(16);
     std::thread producer([&ring] {
--- a/packages/daemon/control/ConfigurationKeeper.cpp
+++ b/packages/daemon/control/ConfigurationKeeper.cpp
@@ -239,12 +239,12 @@
 ConfigurationKeeper::CommitOutcome ConfigurationKeeper::Commit(const ConfigurationChange& aChange,
                                                                const std::string& aEncoded)
 {
-  const auto committed = this->table.Commit(
-    { { std::string(kHeadKey), this->headRowVersion },
-      { this->registration.Key(), this->registration.RowVersion() } },
-    { { std::string(kHeadKey), EncodeNumber(aChange.version) },
-      { ChangeKey(aChange.version), aEncoded } },
-    kCommitTimeout);
+  const auto committed =
+    this->table.Commit({ { std::string(kHeadKey), this->headRowVersion },
+                         { this->registration.Key(), this->registration.RowVersion() } },
+                       { { std::string(kHeadKey), EncodeNumber(aChange.version) },
+                         { ChangeKey(aChange.version), aEncoded } },
+                       kCommitTimeout);
   if (committed) {
     return CommitOutcome::Committed;
   }
--- a/packages/daemon/control/PlatformRows.cpp
+++ b/packages/daemon/control/PlatformRows.cpp
@@ -72,9 +72,8 @@
 
 std::string EncodeDatabaseRow(const DatabaseRow& aRow)
 {
-  return ToBytes(json{ { "term", aRow.term },
-                       { "primary", aRow.primary.Text() },
-                       { "operation", aRow.operationId } });
+  return ToBytes(json{
+    { "term", aRow.term }, { "primary", aRow.primary.Text() }, { "operation", aRow.operationId } });
 }
 
 std::optional<DatabaseRow> DecodeDatabaseRow(std::string_view aValue)
--- a/packages/daemon/control/PlatformRows.h
+++ b/packages/daemon/control/PlatformRows.h
@@ -1,9 +1,9 @@
 #pragma once
 
+#include "adapters/platform/TableRow.h"
 #include "core/base/Names.h"
 #include "core/lease/QuotaShardRow.h"
 #include "core/lease/QuotaShardWrite.h"
-#include "adapters/platform/TableRow.h"
 
 #include <cstdint>
 #include <optional>
--- a/packages/daemon/control/ShardKeeper.cpp
+++ b/packages/daemon/control/ShardKeeper.cpp
@@ -60,8 +60,8 @@
   if (!this->ReadRows()) {
     return false;
   }
-  const QuotaShardPlan plan = PlanQuotaShards(
-    aNow, this->holder, aLive, aIsLeaving, aConnectionsAreWithinEntitlement);
+  const QuotaShardPlan plan =
+    PlanQuotaShards(aNow, this->holder, aLive, aIsLeaving, aConnectionsAreWithinEntitlement);
   for (const QuotaShardId shard : plan.withdraw) {
     this->holder.Withdraw(SystemBootClock{}.Now(), shard);
   }
--- a/packages/daemon/control/ShardKeeper.h
+++ b/packages/daemon/control/ShardKeeper.h
@@ -23,7 +23,8 @@
 
   ShardKeeper(TableClient& aTable, VmId aSelf, std::uint64_t aIncarnation, ChangeHook aChanged);
 
-  /** Reads the rows, plans and carries the plan out. Returns false when the platform gave no answer.
+  /** Reads the rows, plans and carries the plan out. Returns false when the platform gave no
+     answer.
       @param aLive  reachable VMs that take work.
       @param aIsLeaving  true when this VM gives all its shards up.
       @param aConnectionsAreWithinEntitlement  see PlanQuotaShards. */
--- a/packages/daemon/loop/EventLoop.cpp
+++ b/packages/daemon/loop/EventLoop.cpp
@@ -16,18 +16,23 @@
 } // namespace
 
 EventLoop::EventLoop(std::size_t aCapacity)
-  : ring(aCapacity) {}
+  : ring(aCapacity)
+{
+}
 
-EventLoop::~EventLoop() {
+EventLoop::~EventLoop()
+{
   this->Stop();
 }
 
-void EventLoop::Start() {
+void EventLoop::Start()
+{
   MUSTARDSHIFT_ASSERT(!this->thread.joinable());
   this->thread = std::thread([this] { this->Run(); });
 }
 
-void EventLoop::Stop() {
+void EventLoop::Stop()
+{
   this->stopping = true;
   // Producers that wait for room in a full ring go on once it is emptied.
   if (this->thread.joinable()) {
@@ -37,14 +42,16 @@
   }
 }
 
-bool EventLoop::TryPost(Task aTask) {
+bool EventLoop::TryPost(Task aTask)
+{
   if (this->stopping) {
     return false;
   }
   return this->ring.TryPush(std::move(aTask));
 }
 
-void EventLoop::Post(Task aTask) {
+void EventLoop::Post(Task aTask)
+{
   if (this->stopping) {
     return;
   }
@@ -55,7 +62,8 @@
   this->ring.Push(std::move(aTask));
 }
 
-bool EventLoop::PostAndWait(const Task& aTask) {
+bool EventLoop::PostAndWait(const Task& aTask)
+{
   const auto done = std::make_shared<std::promise<void>>();
   std::future<void> finished = done->get_future();
   this->Post([aTask, done](Instant aNow) {
@@ -70,17 +78,20 @@
   return finished.wait_for(std::chrono::seconds(0)) == std::future_status::ready;
 }
 
-EventLoop::TimerId EventLoop::Schedule(Instant aDue, Task aTask) {
+EventLoop::TimerId EventLoop::Schedule(Instant aDue, Task aTask)
+{
   const TimerId timer{ aDue, this->nextTimer++ };
   this->timers.emplace(timer, std::move(aTask));
   return timer;
 }
 
-void EventLoop::Cancel(TimerId aTimer) {
+void EventLoop::Cancel(TimerId aTimer)
+{
   this->timers.erase(aTimer);
 }
 
-void EventLoop::FireTimers(Instant aNow) {
+void EventLoop::FireTimers(Instant aNow)
+{
   while (!this->timers.empty() && this->timers.begin()->first.first <= aNow) {
     const auto timer = this->timers.begin();
     const Task task = std::move(timer->second);
@@ -90,7 +101,8 @@
   }
 }
 
-void EventLoop::RunDeferred() {
+void EventLoop::RunDeferred()
+{
   while (!this->deferred.empty()) {
     const Task task = std::move(this->deferred.front());
     this->deferred.pop_front();
@@ -98,7 +110,8 @@
   }
 }
 
-void EventLoop::Run() {
+void EventLoop::Run()
+{
   while (!this->stopping) {
     const Instant now = SystemBootClock{}.Now();
     this->FireTimers(now);
--- a/packages/daemon/loop/EventLoop.h
+++ b/packages/daemon/loop/EventLoop.h
@@ -16,7 +16,8 @@
 
 /** Runs tasks one after another on a thread of its own, with timers. State that only tasks of one
     loop touch needs no locks. */
-class EventLoop {
+class EventLoop
+{
 public:
   /** A unit of work; it gets the present time. */
   using Task = std::function<void(Instant)>;
--- a/packages/daemon/request/Operation.h
+++ b/packages/daemon/request/Operation.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "core/base/Outcome.h"
 #include "core/base/Instant.h"
 #include "core/base/Names.h"
+#include "core/base/Outcome.h"
 #include "daemon/request/ConnectionLease.h"
 
 #include <functional>
--- a/packages/daemon/request/ReadFlow.cpp
+++ b/packages/daemon/request/ReadFlow.cpp
@@ -47,32 +47,31 @@
     aNow, this->token, this->freshness, this->request.deadline, this->failed);
   this->floor = planned.floor;
   std::visit(
-    Overloaded{
-      [&](const ReadAtReplica& aPlan) { this->ReadFrom(aNow, aPlan.replica, false); },
-      [&](const ReadAtPrimary& aPlan) { this->ReadFrom(aNow, aPlan.primary, true); },
-      [&](const WaitAtReplica& aPlan) {
-        this->dispatcher->WaitForPosition(
-          aNow,
-          aPlan.replica,
-          aPlan.floor,
-          aPlan.bound,
-          [self = this->shared_from_this(), server = aPlan.replica, sentAt = aNow](
-            Instant aLater, const Outcome<database::v1::Answer>& aAnswer) {
-            self->dispatcher->ObserveAnswer(aLater, server, sentAt, aAnswer);
-            if (aAnswer && aAnswer->status() == database::v1::ANSWER_STATUS_OK) {
-              self->ReadFrom(aLater, server, false);
-            } else {
-              self->PlanAgain(aLater, server);
-            }
-          });
-      },
-      [&](const Refusal& aRefusal) {
-        if (aRefusal.reason == Reason::DeadlineExceeded) {
-          this->Refuse(aNow, aRefusal);
-        } else {
-          this->PlanLater(aNow);
-        }
-      } },
+    Overloaded{ [&](const ReadAtReplica& aPlan) { this->ReadFrom(aNow, aPlan.replica, false); },
+                [&](const ReadAtPrimary& aPlan) { this->ReadFrom(aNow, aPlan.primary, true); },
+                [&](const WaitAtReplica& aPlan) {
+                  this->dispatcher->WaitForPosition(
+                    aNow,
+                    aPlan.replica,
+                    aPlan.floor,
+                    aPlan.bound,
+                    [self = this->shared_from_this(), server = aPlan.replica, sentAt = aNow](
+                      Instant aLater, const Outcome<database::v1::Answer>& aAnswer) {
+                      self->dispatcher->ObserveAnswer(aLater, server, sentAt, aAnswer);
+                      if (aAnswer && aAnswer->status() == database::v1::ANSWER_STATUS_OK) {
+                        self->ReadFrom(aLater, server, false);
+                      } else {
+                        self->PlanAgain(aLater, server);
+                      }
+                    });
+                },
+                [&](const Refusal& aRefusal) {
+                  if (aRefusal.reason == Reason::DeadlineExceeded) {
+                    this->Refuse(aNow, aRefusal);
+                  } else {
+                    this->PlanLater(aNow);
+                  }
+                } },
     planned.plan);
 }
 
@@ -103,10 +102,8 @@
   // The primary may have changed while the operation waited for a connection.
   const ServerAddress server = aIsPrimary ? this->dispatcher->Primary().server : aServer;
   aLease->Send(
-    MakeExecuteFrame(this->dispatcher->Primary().term,
-                     this->request.statement,
-                     this->request.requestId,
-                     true),
+    MakeExecuteFrame(
+      this->dispatcher->Primary().term, this->request.statement, this->request.requestId, true),
     this->request.deadline - aNow,
     [self = this->shared_from_this(), lease = aLease, server, aIsPrimary, sentAt = aNow](
       Instant aLater, const Outcome<database::v1::Answer>& aAnswer) {
--- a/packages/daemon/request/RequestProcessor.cpp
+++ b/packages/daemon/request/RequestProcessor.cpp
@@ -194,18 +194,18 @@
                                     const Admission& aAdmission,
                                     const std::function<void(Instant, Outcome<void>)>& aCallback)
 {
-  this->loop.Schedule(
-    aAdmission.waitUntil, [this, aOrganisation, aAdmission, aCallback](Instant aLater) {
-      const Outcome<Admission> admission =
-        this->quota.AdmitWaiting(aLater, aOrganisation, aAdmission);
-      if (!admission) {
-        aCallback(aLater, tl::unexpected<Refusal>(admission.error()));
-      } else if (admission->isAdmitted) {
-        aCallback(aLater, {});
-      } else {
-        this->AdmitWaiting(aLater, aOrganisation, *admission, aCallback);
-      }
-    });
+  this->loop.Schedule(aAdmission.waitUntil,
+                      [this, aOrganisation, aAdmission, aCallback](Instant aLater) {
+                        const Outcome<Admission> admission =
+                          this->quota.AdmitWaiting(aLater, aOrganisation, aAdmission);
+                        if (!admission) {
+                          aCallback(aLater, tl::unexpected<Refusal>(admission.error()));
+                        } else if (admission->isAdmitted) {
+                          aCallback(aLater, {});
+                        } else {
+                          this->AdmitWaiting(aLater, aOrganisation, *admission, aCallback);
+                        }
+                      });
 }
 
 ReplyCallback RequestProcessor::Observed(Instant aNow,
@@ -224,11 +224,10 @@
 
 void RequestProcessor::Execute(Instant aNow, CallerRequest aRequest, ReplyCallback aReply)
 {
-  const Outcome<AuthenticatedRequest> authenticated = this->Authenticate(aNow, aRequest, WorkKind::New);
+  const Outcome<AuthenticatedRequest> authenticated =
+    this->Authenticate(aNow, aRequest, WorkKind::New);
   const ReplyCallback reply = this->Observed(
-    aNow,
-    authenticated ? authenticated->organisation : OrganisationName(),
-    std::move(aReply));
+    aNow, authenticated ? authenticated->organisation : OrganisationName(), std::move(aReply));
   if (!authenticated) {
     reply(tl::unexpected<Refusal>(authenticated.error()));
     return;
@@ -269,8 +268,8 @@
     } else {
       seen.ObserveWrite(database, aResult->position);
     }
-    reply(CallerAnswer{
-      aResult->rows, this->EncodeToken(std::move(seen)), aResult->servedByReplica });
+    reply(
+      CallerAnswer{ aResult->rows, this->EncodeToken(std::move(seen)), aResult->servedByReplica });
   };
   if (aRequest.isReadOnly) {
     std::make_shared<ReadFlow>(this->loop,
@@ -283,8 +282,7 @@
       ->Start(aNow);
     return;
   }
-  std::make_shared<WriteFlow>(
-    this->loop, aAuthenticated.dispatcher, aRequest, queueName, finish)
+  std::make_shared<WriteFlow>(this->loop, aAuthenticated.dispatcher, aRequest, queueName, finish)
     ->Start(aNow);
 }
 
--- a/packages/daemon/request/RequestProcessor.h
+++ b/packages/daemon/request/RequestProcessor.h
@@ -29,8 +29,8 @@
 {
 public:
   /** Gets each request's organisation, end and time. */
-  using Observer = std::function<
-    void(const OrganisationName&, const Outcome<CallerAnswer>&, Duration aElapsed)>;
+  using Observer =
+    std::function<void(const OrganisationName&, const Outcome<CallerAnswer>&, Duration aElapsed)>;
 
   /** @param aGate  says whether new work may start; see ServiceGate.
       @param aQuota  the quotas of the organisations. Both have to outlive the processor. */
@@ -62,7 +62,10 @@
              std::function<void(Instant, Outcome<void>)> aCallback);
 
   /** Adds what a statement has seen to its session, and encodes the token. */
-  std::string EncodeToken(SessionToken aToken) const { return this->codec->Encode(std::move(aToken)); }
+  std::string EncodeToken(SessionToken aToken) const
+  {
+    return this->codec->Encode(std::move(aToken));
+  }
 
   /** Returns the dispatcher of a database, or null. */
   std::shared_ptr<DatabaseDispatcher> FindDispatcher(const DatabaseName& aDatabase) const;
--- a/packages/daemon/request/ServerConnection.cpp
+++ b/packages/daemon/request/ServerConnection.cpp
@@ -23,14 +23,12 @@
                             Duration aTimeout,
                             AnswerCallback aCallback)
 {
-  this->connection->Send(std::move(aRequest),
-                         aTimeout,
-                         [&loop = this->loop, callback = std::move(aCallback)](
-                           Outcome<database::v1::Answer> aAnswer) {
-                           loop.Post([callback, answer = std::move(aAnswer)](Instant aNow) {
-                             callback(aNow, answer);
-                           });
-                         });
+  this->connection->Send(
+    std::move(aRequest),
+    aTimeout,
+    [&loop = this->loop, callback = std::move(aCallback)](Outcome<database::v1::Answer> aAnswer) {
+      loop.Post([callback, answer = std::move(aAnswer)](Instant aNow) { callback(aNow, answer); });
+    });
 }
 
 } // namespace mustardshift
--- a/packages/daemon/request/ServerPool.cpp
+++ b/packages/daemon/request/ServerPool.cpp
@@ -102,10 +102,9 @@
 
 unsigned ServerPool::BusyConnections() const
 {
-  return static_cast<unsigned>(
-    std::count_if(this->connections.begin(), this->connections.end(), [](const Slot& aSlot) {
-      return aSlot.isBusy;
-    }));
+  return static_cast<unsigned>(std::count_if(this->connections.begin(),
+                                             this->connections.end(),
+                                             [](const Slot& aSlot) { return aSlot.isBusy; }));
 }
 
 void ServerPool::Return(const std::shared_ptr<ServerConnection>& aConnection)
@@ -128,23 +127,22 @@
 
 std::shared_ptr<ServerConnection> ServerPool::Open(Instant /*aNow*/, bool aIsBusy)
 {
-  auto connection = std::make_shared<ServerConnection>(
-    this->loop,
-    this->server,
-    this->userAgent,
-    [weak = this->weak_from_this()](Instant aNow, bool aOpened) {
-      if (const auto self = weak.lock()) {
-        self->OnOpened(aNow, aOpened);
-      }
-    });
+  auto connection =
+    std::make_shared<ServerConnection>(this->loop,
+                                       this->server,
+                                       this->userAgent,
+                                       [weak = this->weak_from_this()](Instant aNow, bool aOpened) {
+                                         if (const auto self = weak.lock()) {
+                                           self->OnOpened(aNow, aOpened);
+                                         }
+                                       });
   this->connections.push_back({ connection, aIsBusy });
   return connection;
 }
 
 void ServerPool::DropUnusable()
 {
-  std::erase_if(this->connections,
-                [](const Slot& aSlot) { return !aSlot.connection->IsUsable(); });
+  std::erase_if(this->connections, [](const Slot& aSlot) { return !aSlot.connection->IsUsable(); });
 }
 
 void ServerPool::OnOpened(Instant aNow, bool aOpened)
--- a/packages/daemon/request/TransactionTable.cpp
+++ b/packages/daemon/request/TransactionTable.cpp
@@ -129,16 +129,15 @@
                                 const BeginCallback& aReply)
 {
   this->transactions.emplace(aTransaction->id, aTransaction);
-  aTransaction->timer = this->loop.Schedule(
-    aNow + this->timeout,
-    [this, aTransaction](Instant /*aLater*/) { this->OnTimeout(aTransaction); });
+  aTransaction->timer =
+    this->loop.Schedule(aNow + this->timeout, [this, aTransaction](Instant /*aLater*/) {
+      this->OnTimeout(aTransaction);
+    });
   aReply(aTransaction->id);
 }
 
-Outcome<TransactionTable::TransactionPointer> TransactionTable::Find(
-  Instant aNow,
-  const TransactionId& aId,
-  const CallerRequest& aRequest) const
+Outcome<TransactionTable::TransactionPointer>
+TransactionTable::Find(Instant aNow, const TransactionId& aId, const CallerRequest& aRequest) const
 {
   const auto found = this->transactions.find(aId);
   if (found == this->transactions.end()) {
@@ -185,13 +184,12 @@
                         : tl::unexpected<Refusal>(aAdmitted.error()));
         return;
       }
-      open->lease->Send(
-        MakeExecuteFrame(open->term, request.statement, RequestId(), false),
-        request.deadline - aLater,
-        [this, open, deadline = request.deadline, reply](
-          Instant aAnswered, const Outcome<database::v1::Answer>& aAnswer) {
-          this->OnStatementAnswer(aAnswered, open, deadline, aAnswer, reply);
-        });
+      open->lease->Send(MakeExecuteFrame(open->term, request.statement, RequestId(), false),
+                        request.deadline - aLater,
+                        [this, open, deadline = request.deadline, reply](
+                          Instant aAnswered, const Outcome<database::v1::Answer>& aAnswer) {
+                          this->OnStatementAnswer(aAnswered, open, deadline, aAnswer, reply);
+                        });
     });
 }
 
--- a/packages/daemon/request/TransactionTable.h
+++ b/packages/daemon/request/TransactionTable.h
@@ -57,9 +57,7 @@
   void OpenOnConnection(Instant aNow,
                         const TransactionPointer& aTransaction,
                         const BeginCallback& aReply);
-  void SendBegin(Instant aNow,
-                 const TransactionPointer& aTransaction,
-                 const BeginCallback& aReply);
+  void SendBegin(Instant aNow, const TransactionPointer& aTransaction, const BeginCallback& aReply);
   void Register(Instant aNow, const TransactionPointer& aTransaction, const BeginCallback& aReply);
   Outcome<TransactionPointer> Find(Instant aNow,
                                    const TransactionId& aId,
--- a/packages/daemon/request/WriteFlow.cpp
+++ b/packages/daemon/request/WriteFlow.cpp
@@ -62,8 +62,8 @@
   aLease->Send(
     MakeExecuteFrame(this->sentTerm, this->request.statement, this->request.requestId, false),
     this->request.deadline - aNow,
-    [self = this->shared_from_this(), lease = aLease](
-      Instant aLater, const Outcome<database::v1::Answer>& aAnswer) {
+    [self = this->shared_from_this(),
+     lease = aLease](Instant aLater, const Outcome<database::v1::Answer>& aAnswer) {
       self->OnAnswer(aLater, aAnswer);
     });
 }
--- a/packages/daemon/service/CallerService.cpp
+++ b/packages/daemon/service/CallerService.cpp
@@ -58,8 +58,8 @@
   }
   Duration remaining = this->defaultTimeout;
   if (aContext.deadline() != std::chrono::system_clock::time_point::max()) {
-    remaining = std::chrono::duration_cast<Duration>(aContext.deadline() -
-                                                     std::chrono::system_clock::now());
+    remaining =
+      std::chrono::duration_cast<Duration>(aContext.deadline() - std::chrono::system_clock::now());
     remaining = std::clamp(remaining, Duration{ 0 }, kLongestTimeout);
     remaining -= std::min(remaining / kReplyReserveDivisor, kLargestReplyReserve);
   }
