Add configuration trust and the member table

Cause: a partitioned VM must stop relying on revoked keys within seconds, and a total outage of the platform must not stop all VMs at once. Change: core/configuration/ConfigurationTrust, core/membership/MemberTable. Histories in virtual time with five built-in faults that the checker catches.

--- /dev/null
+++ b/packages/core/tests/MemberTableTest.cpp
@@ -0,0 +1,72 @@
+#include "core/membership/MemberTable.h"
+#include "support/Section.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+namespace mustardshift {
+
+using std::chrono::seconds;
+using test::Section;
+
+namespace {
+
+constexpr Instant kStart{ seconds(1000) };
+
+MemberRow RowOf(const std::string& aVm, const std::string& aFailureDomain)
+{
+  return { { { VmId(aVm), 1 }, 1 }, aVm + ":1", FailureDomainName(aFailureDomain) };
+}
+
+} // namespace
+
+/** Guards against work, loans or shards that go to VMs that are gone, unreachable or drained. */
+class MemberTableTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(MemberTableTest);
+  CPPUNIT_TEST(SeparatesExistenceFromReachability);
+  CPPUNIT_TEST(LeavesDrainedVmsOut);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void SeparatesExistenceFromReachability()
+  {
+    MemberTable table(VmId("a"), FailureDomainName("fd-1"));
+    table.RowsRead(kStart, { RowOf("a", "fd-1"), RowOf("b", "fd-2") });
+    table.ListRead(kStart, { { VmId("c"), "c:1", false } });
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, table.Others(kStart).size());
+    CPPUNIT_ASSERT(table.ReachablePeers(kStart).empty());
+    table.PongReceived(kStart, VmId("b"), false);
+    table.PongReceived(kStart - seconds(2), VmId("b"), false);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, table.ReachablePeers(kStart + seconds(3)).size());
+    CPPUNIT_ASSERT(table.ReachablePeers(kStart + seconds(4)).empty());
+    Section("a read that arrives late changes nothing", [&] {
+      table.RowsRead(kStart - seconds(1), {});
+      CPPUNIT_ASSERT(table.FailureDomainOf(VmId("b")) == FailureDomainName("fd-2"));
+    });
+  }
+
+  void LeavesDrainedVmsOut()
+  {
+    MemberTable table(VmId("a"), FailureDomainName("fd-1"));
+    table.RowsRead(kStart, { RowOf("b", "fd-2"), RowOf("c", "fd-3"), RowOf("d", "fd-4") });
+    table.ListRead(kStart, { { VmId("d"), "d:1", true } });
+    for (const char* vm : { "b", "c", "d" }) {
+      table.PongReceived(kStart, VmId(vm), false);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 3 }, table.LiveMembers(kStart).size());
+    table.SetDrainedFailureDomains({ FailureDomainName("fd-2"), FailureDomainName("fd-1") });
+    CPPUNIT_ASSERT(table.LiveMembers(kStart) == std::set<VmId>{ VmId("c") });
+    CPPUNIT_ASSERT(table.IsSelfDrained());
+    table.PongReceived(kStart, VmId("c"), true);
+    CPPUNIT_ASSERT(table.LiveMembers(kStart).empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 3 }, table.ReachablePeers(kStart).size());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(MemberTableTest);
+
+} // namespace mustardshift
--- /dev/null
+++ b/packages/core/tests/TrustHistory.cpp
@@ -0,0 +1,345 @@
+#include "TrustHistory.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace mustardshift::test {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr std::int64_t kDriftPerMillion = 4500;
+
+} // namespace
+
+TrustHistory::TrustHistory(std::uint64_t aSeed,
+                           unsigned aVmCount,
+                           TrustFault aFault,
+                           bool aIsDisturbed)
+  : random(aSeed)
+  , fault(aFault)
+  , isDisturbed(aIsDisturbed)
+  , vms(aVmCount)
+{
+  this->acceptedAt.assign(2, this->now);
+  for (std::size_t index = 0; index < this->vms.size(); ++index) {
+    Vm& vm = this->vms[index];
+    vm.id = VmId("vm-" + std::to_string(index));
+    vm.failureDomain = static_cast<unsigned>(index % kFailureDomains);
+    vm.driftPerMillion =
+      static_cast<std::int64_t>(this->random() % (2 * kDriftPerMillion)) - kDriftPerMillion;
+    vm.offset = this->Within(seconds(100'000));
+    this->After(aIsDisturbed && Chance(2) ? this->Within(seconds(900)) : this->Within(seconds(2)),
+                [this, index] { this->Start(index); });
+  }
+  if (aIsDisturbed) {
+    this->After(seconds(10), [this] { this->Disturb(); });
+  }
+}
+
+std::string TrustHistory::Run(Duration aLength)
+{
+  const Instant end = this->now + aLength;
+  while (this->violation.empty() && !this->events.empty() && this->events.top().at < end) {
+    const Event event = this->events.top();
+    this->events.pop();
+    this->now = event.at;
+    event.action();
+  }
+  this->now = std::max(this->now, end);
+  return this->violation;
+}
+
+unsigned TrustHistory::CountTrusting() const
+{
+  return static_cast<unsigned>(
+    std::count_if(this->vms.begin(), this->vms.end(), [&](const Vm& aVm) {
+      return aVm.isUp && aVm.trust->IsTrusted(this->Local(aVm));
+    }));
+}
+
+Duration TrustHistory::Within(Duration aMaximum)
+{
+  return Duration(
+    static_cast<std::int64_t>(this->random() % static_cast<std::uint64_t>(aMaximum.count())));
+}
+
+void TrustHistory::After(Duration aDelay, std::function<void()> aAction)
+{
+  this->events.push({ this->now + aDelay, ++this->lastEvent, std::move(aAction) });
+}
+
+void TrustHistory::Deliver(std::size_t aVm, Duration aDelay, std::function<void()> aAction)
+{
+  const std::uint64_t process = this->vms[aVm].process;
+  this->After(aDelay, [this, aVm, process, action = std::move(aAction)]() mutable {
+    const Vm& vm = this->vms[aVm];
+    if (!vm.isUp || vm.process != process) {
+      return;
+    }
+    if (this->now < vm.pausedUntil) {
+      this->Deliver(aVm, vm.pausedUntil - this->now + Duration(1), std::move(action));
+      return;
+    }
+    action();
+    this->Check(vm);
+  });
+}
+
+Duration TrustHistory::MessageDelay()
+{
+  return this->isDisturbed && Chance(10) ? this->Within(seconds(5))
+                                         : milliseconds(1) + this->Within(milliseconds(20));
+}
+
+Instant TrustHistory::Local(const Vm& aVm) const
+{
+  const Duration passed = this->now.time_since_epoch();
+  return this->now + aVm.offset + passed * aVm.driftPerMillion / 1'000'000;
+}
+
+void TrustHistory::CallTable(std::size_t aVm,
+                             Duration aDelay,
+                             std::function<std::function<void()>()> aServe)
+{
+  this->After(aDelay, [this, aVm, serve = std::move(aServe)] {
+    if (this->isTableDown || this->isCutFromTable[this->vms[aVm].failureDomain]) {
+      return;
+    }
+    std::function<void()> answer = serve();
+    this->lastServed = this->now;
+    if (answer && !(this->isDisturbed && Chance(10))) {
+      this->Deliver(aVm, this->MessageDelay(), std::move(answer));
+    }
+  });
+}
+
+void TrustHistory::Start(std::size_t aVm)
+{
+  Vm& vm = this->vms[aVm];
+  vm.isUp = true;
+  ++vm.process;
+  vm.isRegistered = false;
+  vm.pausedUntil = {};
+  vm.trust.emplace(vm.id);
+  this->Deliver(aVm, milliseconds(10), [this, aVm] { this->Tick(aVm); });
+}
+
+void TrustHistory::Disturb()
+{
+  const std::size_t index = this->random() % this->vms.size();
+  Vm& vm = this->vms[index];
+  const unsigned one = static_cast<unsigned>(this->random() % kFailureDomains);
+  const unsigned two = static_cast<unsigned>(this->random() % kFailureDomains);
+  switch (this->random() % 10) {
+    case 0:
+      if (vm.isUp) {
+        vm.isUp = false;
+        this->After(Chance(2) ? this->Within(seconds(5)) : this->Within(seconds(900)),
+                    [this, index] { this->Start(index); });
+      }
+      break;
+    case 1:
+    case 2:
+      vm.pausedUntil =
+        this->now + (Chance(3) ? this->Within(seconds(900)) : this->Within(seconds(10)));
+      break;
+    case 3:
+    case 4:
+      this->isCut[one][two] = this->isCut[two][one] = one != two && !this->isCut[one][two];
+      break;
+    case 5:
+    case 6:
+      this->isCutFromTable[one] = !this->isCutFromTable[one];
+      break;
+    case 7:
+      this->isCutFromTable = {};
+      this->isCut = {};
+      break;
+    default:
+      this->isTableDown = !this->isTableDown;
+  }
+  this->After(this->Within(seconds(Chance(5) ? 400 : 20)), [this] { this->Disturb(); });
+}
+
+void TrustHistory::Tick(std::size_t aVm)
+{
+  Vm& vm = this->vms[aVm];
+  this->Ping(aVm);
+  this->ReadHead(aVm);
+  if (Chance(3)) {
+    this->ReadRegistrations(aVm);
+  }
+  if (!vm.isRegistered || Chance(100)) {
+    this->Register(aVm);
+  }
+  if (this->isChanging && Chance(40)) {
+    this->Change(aVm);
+  }
+  this->Deliver(
+    aVm, milliseconds(900) + this->Within(milliseconds(200)), [this, aVm] { this->Tick(aVm); });
+}
+
+void TrustHistory::Ping(std::size_t aVm)
+{
+  const Instant sent = this->Local(this->vms[aVm]);
+  for (std::size_t peer = 0; peer < this->vms.size(); ++peer) {
+    const auto isLost = [this, aVm, peer] {
+      return this->isCut[this->vms[aVm].failureDomain][this->vms[peer].failureDomain] ||
+             (this->isDisturbed && Chance(20));
+    };
+    if (peer == aVm || !this->vms[peer].isUp || isLost()) {
+      continue;
+    }
+    this->Deliver(peer, this->MessageDelay(), [this, aVm, peer, sent, isLost] {
+      TrustReport report = this->vms[peer].trust->Report(this->Local(this->vms[peer]));
+      if (this->fault == TrustFault::HidesUnresolvedChange) {
+        report.hasUnresolvedChange = false;
+      }
+      if (isLost()) {
+        return;
+      }
+      this->Deliver(aVm, this->MessageDelay(), [this, aVm, sent, report] {
+        Vm& vm = this->vms[aVm];
+        const bool isLate = this->fault == TrustFault::PeerAgeFromArrival;
+        vm.trust->PeerReported(isLate ? this->Local(vm) : sent, this->Local(vm), report);
+        // Changes that a peer has are fetched from it.
+        if (report.version > vm.trust->Version() && !(this->isDisturbed && Chance(4))) {
+          this->Deliver(aVm, this->MessageDelay(), [this, aVm, fetched = report.version] {
+            this->vms[aVm].trust->SetVersion(fetched);
+          });
+        }
+      });
+    });
+  }
+}
+
+void TrustHistory::ReadHead(std::size_t aVm)
+{
+  const Instant sent = this->Local(this->vms[aVm]);
+  this->CallTable(aVm, this->MessageDelay(), [this, aVm, sent] {
+    return [this, aVm, sent, read = this->head] {
+      Vm& vm = this->vms[aVm];
+      vm.trust->HeadRead(this->fault == TrustFault::ConfirmsFromAnswer ? this->Local(vm) : sent,
+                         read);
+      // The changes up to the head are read, or pushed by a peer, a little later, or not this time.
+      if (!(this->isDisturbed && Chance(4))) {
+        this->Deliver(
+          aVm, this->MessageDelay(), [this, aVm, read] { this->vms[aVm].trust->SetVersion(read); });
+      }
+    };
+  });
+}
+
+void TrustHistory::ReadRegistrations(std::size_t aVm)
+{
+  const Instant sent = this->Local(this->vms[aVm]);
+  this->CallTable(aVm, this->MessageDelay(), [this, aVm, sent] {
+    std::vector<RegistrationRow> list;
+    for (const auto& [vm, row] : this->rows) {
+      list.push_back({ { vm, row.incarnation }, row.version });
+    }
+    return [this, aVm, sent, list] {
+      Vm& vm = this->vms[aVm];
+      vm.trust->RegistrationsRead(sent, this->Local(vm), list);
+      std::vector<RegistrationRow> removed = vm.trust->LapsedRegistrations(this->Local(vm));
+      if (this->fault == TrustFault::RemovesRunningLease && Chance(10)) {
+        removed = list;
+      }
+      for (const RegistrationRow& lapsed : removed) {
+        if (lapsed.vm.vm == vm.id) {
+          continue;
+        }
+        this->CallTable(aVm, this->MessageDelay(), [this, lapsed]() -> std::function<void()> {
+          const auto row = this->rows.find(lapsed.vm.vm);
+          if (row != this->rows.end() && row->second.version == lapsed.rowVersion) {
+            this->rows.erase(row);
+          }
+          return {};
+        });
+      }
+    };
+  });
+}
+
+void TrustHistory::Register(std::size_t aVm)
+{
+  Vm& vm = this->vms[aVm];
+  const Instant sent = this->Local(vm);
+  // A registration of unknown fate is tried again as a new one.
+  const std::uint64_t incarnation = vm.isRegistered ? vm.incarnation : ++vm.incarnation;
+  const std::uint64_t expected = vm.isRegistered ? vm.rowVersion : 0;
+  const Duration delay =
+    this->isDisturbed && Chance(8) ? this->Within(seconds(60)) : this->MessageDelay();
+  this->CallTable(aVm, delay, [this, aVm, sent, incarnation, expected]() -> std::function<void()> {
+    Row& row = this->rows[this->vms[aVm].id];
+    const bool isNew = expected == 0;
+    if (isNew ? row.incarnation >= incarnation : row.version != expected) {
+      if (row.version == 0) {
+        this->rows.erase(this->vms[aVm].id);
+      }
+      return [this, aVm] { this->vms[aVm].isRegistered = false; };
+    }
+    row = { ++this->lastRowVersion, incarnation };
+    return [this, aVm, sent, incarnation, version = row.version] {
+      Vm& registered = this->vms[aVm];
+      if (incarnation == registered.incarnation && version > registered.rowVersion) {
+        registered.isRegistered = true;
+        registered.rowVersion = version;
+        registered.trust->Registered(sent, this->Local(registered), incarnation);
+      }
+    };
+  });
+}
+
+void TrustHistory::Change(std::size_t aVm)
+{
+  Vm& vm = this->vms[aVm];
+  const bool mayAccept = vm.trust->MayAcceptChanges(this->Local(vm));
+  if (!vm.isRegistered || (!mayAccept && this->fault != TrustFault::AcceptsUnknown)) {
+    return;
+  }
+  const std::uint64_t base = vm.trust->Version();
+  vm.trust->ChangeSent(base);
+  const Duration delay =
+    this->isDisturbed && Chance(8) ? this->Within(seconds(30)) : this->MessageDelay();
+  this->CallTable(aVm, delay, [this, aVm, base, id = vm.id, expected = vm.rowVersion] {
+    const auto row = this->rows.find(id);
+    const bool isRegistered = row != this->rows.end() && row->second.version == expected;
+    const bool isAccepted = this->head == base && isRegistered;
+    if (isAccepted) {
+      ++this->head;
+      this->acceptedAt.push_back(this->now);
+      // The worst moment for the table to fail: nobody has heard of the change yet.
+      if (this->isDisturbed && Chance(8)) {
+        this->isTableDown = true;
+        return std::function<void()>();
+      }
+    }
+    return std::function<void()>([this, aVm, base, isAccepted] {
+      this->vms[aVm].trust->ChangeAnswered(base, isAccepted);
+      if (isAccepted) {
+        this->vms[aVm].trust->SetVersion(base + 1);
+      }
+    });
+  });
+}
+
+/** A withdrawn key is a version below an accepted one. */
+void TrustHistory::Check(const Vm& aVm)
+{
+  if (!aVm.trust->IsTrusted(this->Local(aVm))) {
+    return;
+  }
+  const auto bound = kConfigurationTrustBound + kConfigurationTrustBound / 100;
+  this->outageTrust += this->lastServed + bound < this->now ? 1 : 0;
+  const std::uint64_t next = aVm.trust->Version() + 1;
+  if (next < this->acceptedAt.size() && this->acceptedAt[next] + bound < this->now &&
+      this->violation.empty()) {
+    this->violation = aVm.id.Text() + " trusts version " + std::to_string(next - 1) + " too long";
+  }
+}
+
+} // namespace mustardshift::test
