Trust a configuration after registering only once it is confirmed

Change: the list read after a registration counts only once the configuration is confirmed as of a later moment.

--- a/packages/core/configuration/ConfigurationTrust.cpp
+++ b/packages/core/configuration/ConfigurationTrust.cpp
@@ -91,9 +91,6 @@
     observed[row.vm.vm] = { row, isSame ? before->second.firstObserved : aNow };
   }
   this->rows = std::move(observed);
-  if (this->registeredUntil && aSent >= this->registeredAt) {
-    this->hasListSinceRegistration = true;
-  }
   // A list that waits is replaced only when it is old: lists that arrive more often than
   // confirmations would otherwise never be adopted.
   if (!this->pendingList || aNow - this->pendingList->answered > kConfigurationTrustBound) {
@@ -112,6 +109,7 @@
     this->registeredAt = aNow;
     this->registeredUntil.reset();
     this->hasListSinceRegistration = false;
+    this->pendingList.reset();
     this->isAcceptor = false;
     this->knowSelf.clear();
   }
@@ -220,6 +218,11 @@
   }
   const List list = std::move(*this->pendingList);
   this->pendingList.reset();
+  // Only now: VMs that the list lacks, an earlier process of this VM among them, may have had
+  // changes accepted that a configuration fetched from a peer lacks.
+  this->hasListSinceRegistration =
+    this->hasListSinceRegistration ||
+    (this->registeredUntil.has_value() && list.sent >= this->registeredAt);
   if (this->gone.size() > kMaximumGone) {
     this->gone.clear();
   }
--- a/packages/core/configuration/ConfigurationTrust.h
+++ b/packages/core/configuration/ConfigurationTrust.h
@@ -137,6 +137,7 @@
   std::optional<Instant> registeredUntil;
   /** When the answer to the present registration, not its renewals, arrived. */
   Instant registeredAt{};
+  /** Whether a list read since then was adopted. */
   bool hasListSinceRegistration = false;
   bool isAcceptor = false;
   /** Other VMs that may accept changes, and when each was first learned of. */
--- a/packages/core/tests/ConfigurationTrustTest.cpp
+++ b/packages/core/tests/ConfigurationTrustTest.cpp
@@ -39,6 +39,7 @@
 {
   CPPUNIT_TEST_SUITE(ConfigurationTrustTest);
   CPPUNIT_TEST(CountsFromBeforeRequests);
+  CPPUNIT_TEST(ConfirmsAfterRegistering);
   CPPUNIT_TEST(OutlastsATotalOutage);
   CPPUNIT_TEST(KeepsTheBoundInSeededHistories);
   CPPUNIT_TEST(CatchesEachFault);
@@ -76,6 +77,27 @@
     });
   }
 
+  /** An earlier process of the VM had a change accepted that the peer, which is not registered and
+      gave the new process its configuration, never saw. */
+  void ConfirmsAfterRegistering()
+  {
+    ConfigurationTrust trust{ VmId("vm-1") };
+    TrustReport report;
+    report.vm = { VmId("vm-2"), 0 };
+    report.version = 3;
+    report.confirmationAge = seconds(250);
+    trust.PeerReported(kStart, kStart, report);
+    trust.SetVersion(3);
+    trust.Registered(kStart + seconds(1), kStart + seconds(2), 8);
+    trust.RegistrationsRead(
+      kStart + seconds(3), kStart + seconds(4), { { { VmId("vm-1"), 8 }, 1 } });
+    CPPUNIT_ASSERT(!trust.IsTrusted(kStart + seconds(4)));
+    CPPUNIT_ASSERT(!trust.MayAcceptChanges(kStart + seconds(4)));
+    trust.HeadRead(kStart + seconds(5), 3);
+    CPPUNIT_ASSERT(trust.MayAcceptChanges(kStart + seconds(5)));
+    CPPUNIT_ASSERT(trust.IsTrusted(kStart + seconds(100)));
+  }
+
   void OutlastsATotalOutage()
   {
     TrustHistory history(1, 9, TrustFault::None, false);
