--- a/packages/core/failover/AcknowledgementRule.cpp
+++ b/packages/core/failover/AcknowledgementRule.cpp
@@ -19,7 +19,9 @@
   const bool holdsPosition = aReport.position.term == this->position.term &&
                              aReport.position.offset >= this->position.offset;
   if (isUnderTerm && holdsPosition) {
+    // Also when this report was overtaken by one of a later term: it was true when it was made.
     this->confirmed.insert(aServer);
+    this->superseded.erase(aServer);
   } else if (aReport.acceptedTerm > this->position.term && !this->confirmed.contains(aServer)) {
     this->superseded.insert(aServer);
   }
--- a/packages/core/failover/FailoverDecision.cpp
+++ b/packages/core/failover/FailoverDecision.cpp
@@ -248,7 +248,7 @@
   }
   if (this->cause == Cause::None) {
     this->failures = 0;
-    this->RefreshFollowers();
+    this->RefreshRoles();
     return;
   }
   if (this->now < this->turn || !this->platformReachable) {
@@ -455,7 +455,7 @@
   }
 }
 
-void FailoverDecision::RefreshFollowers()
+void FailoverDecision::RefreshRoles()
 {
   // A replica whose Follow was lost, or that restarted, has nobody to replicate from. The second
   // rank covers a first one that is about to be found dead.
@@ -469,6 +469,11 @@
     return;
   }
   this->nextFollow = this->now + this->Jittered(this->options.followInterval);
+  if (primary->second.report.position.term < this->knownTerm) {
+    // A server that serves old terms may still lead in the one before: its report does not tell.
+    // Once it has written in the present term, it was promoted.
+    this->actions.emplace_back(Promote{ this->knownPrimary, this->knownTerm });
+  }
   for (const auto& [server, replica] : this->seen) {
     if (server == this->knownPrimary || !this->IsFresh(replica) ||
         replica.report.acceptedTerm > this->knownTerm) {
--- a/packages/core/failover/FailoverDecision.h
+++ b/packages/core/failover/FailoverDecision.h
@@ -113,7 +113,7 @@
   void StartRecording();
   void StartPromoting();
   void SendServerCommands();
-  void RefreshFollowers();
+  void RefreshRoles();
   void Learn(std::uint64_t aTerm, const ServerAddress& aPrimary);
   void Note(const ServerAddress& aServer, const ServerReport& aReport);
   /** Follows a server's refusal of a term that it has surpassed. */
--- a/packages/core/failover/FailoverOptions.h
+++ b/packages/core/failover/FailoverOptions.h
@@ -40,7 +40,8 @@
   Duration backoffMinimum{ 200'000 };
   /** Three of these and one attempt fit into the 16 s that a primary change may take. */
   Duration backoffMaximum{ 2'000'000 };
-  /** Replicas that lag behind are told again whom to follow this often. */
+  /** Replicas that lag behind are told again whom to follow this often, and a primary that has not
+      written in its term yet that it leads. */
   Duration followInterval{ 2'000'000 };
 };
 
--- /dev/null
+++ b/packages/core/tests/FailoverDecisionTest.cpp
@@ -0,0 +1,328 @@
+#include "core/failover/FailoverDecision.h"
+#include "core/failover/VmRank.h"
+#include "support/Section.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <optional>
+#include <set>
+
+namespace mustardshift {
+
+using test::Section;
+using namespace failover_action;
+using namespace failover_event;
+
+namespace {
+
+const ServerAddress kFirst("a");
+const ServerAddress kSecond("b");
+const ServerAddress kThird("c");
+
+/** A decision with a clock; each Give moves the time on by 1 ms. */
+class Driver
+{
+public:
+  explicit Driver(std::uint64_t aIncarnation = 1)
+    : decision(MakeOptions(aIncarnation), std::mt19937_64(20261204))
+  {
+  }
+
+  void Give(const FailoverEvent& aEvent)
+  {
+    this->now += Duration{ 1000 };
+    for (FailoverAction& action : this->decision.Handle(aEvent, this->now)) {
+      this->actions.push_back(std::move(action));
+    }
+  }
+
+  void Wait(std::int64_t aMilliseconds)
+  {
+    for (std::int64_t i = 0; i < aMilliseconds; i += 10) {
+      this->now += Duration{ 9000 };
+      this->Give(Tick{});
+    }
+  }
+
+  /** Takes the last action of a kind and forgets all before it. */
+  template<class Action>
+  std::optional<Action> Take()
+  {
+    std::optional<Action> found;
+    for (const FailoverAction& action : this->actions) {
+      if (const auto* match = std::get_if<Action>(&action)) {
+        found = *match;
+      }
+    }
+    this->actions.clear();
+    return found;
+  }
+
+  void AnswerRead(const PrimaryRow& aRow)
+  {
+    const auto read = this->Take<ReadRow>();
+    CPPUNIT_ASSERT(read.has_value());
+    this->Give(RowRead{ read->request, aRow });
+  }
+
+  /** Brings a VM that knows term 1 to the compare-and-set of term 2. */
+  PrimaryRow ReachRecording()
+  {
+    this->ReachFencing();
+    this->Give(AcceptTermAnswered{ kSecond, 2, true, { 2, { 1, 7 }, false } });
+    this->Give(AcceptTermAnswered{ kThird, 2, true, { 2, { 1, 9 }, false } });
+    const auto write = this->Take<CompareAndSetRow>();
+    CPPUNIT_ASSERT(write.has_value());
+    return write->row;
+  }
+
+  void ReachFencing()
+  {
+    this->ReachQuerying();
+    this->Give(PeerAnswered{ VmId("vm-2"), FailureDomainName("2"), 1, true });
+    this->AnswerRead(kRow);
+    CPPUNIT_ASSERT(this->decision.Phase() == FailoverPhase::Fencing);
+  }
+
+  void ReachQuerying()
+  {
+    this->Give(MembersChanged{ { VmId("vm-2"), VmId("vm-3") } });
+    this->AnswerRead(kRow);
+    this->Give(SuspicionChanged{ 1, true });
+    this->Wait(600);
+    CPPUNIT_ASSERT(this->decision.Phase() == FailoverPhase::Querying ||
+                   this->decision.Phase() == FailoverPhase::BackingOff);
+    while (this->decision.Phase() != FailoverPhase::Querying) {
+      this->Wait(10);
+    }
+  }
+
+  inline static const PrimaryRow kRow{ 4, 1, kFirst, "x" };
+
+  FailoverDecision decision;
+  Instant now;
+  std::vector<FailoverAction> actions;
+
+private:
+  static FailoverOptions MakeOptions(std::uint64_t aIncarnation)
+  {
+    FailoverOptions options;
+    options.database = DatabaseName("orders");
+    options.servers = { kFirst, kSecond, kThird };
+    options.self = VmId("vm-1");
+    options.failureDomain = FailureDomainName("1");
+    options.incarnation = aIncarnation;
+    return options;
+  }
+};
+
+} // namespace
+
+/** Guards against single steps of a promotion that go wrong: a lost answer taken for a refusal, a
+    fence without agreement, a promotion of anyone but the recorded primary. */
+class FailoverDecisionTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(FailoverDecisionTest);
+  CPPUNIT_TEST(PromotesTheHighestPosition);
+  CPPUNIT_TEST(NeedsAgreementInAnotherFailureDomain);
+  CPPUNIT_TEST(ResolvesALostCompareAndSet);
+  CPPUNIT_TEST(YieldsToTheWinnerOfARace);
+  CPPUNIT_TEST(FinishesWhatTheRowRecords);
+  CPPUNIT_TEST(RecordsTheFirstPrimary);
+  CPPUNIT_TEST(IgnoresAnswersOfOtherAttempts);
+  CPPUNIT_TEST(RanksVmsAlikeEverywhere);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void PromotesTheHighestPosition()
+  {
+    Driver driver;
+    const PrimaryRow row = driver.ReachRecording();
+    CPPUNIT_ASSERT(row.primary == kThird && row.term == 2 && row.version == 4);
+    driver.Give(RowWritten{ row.operationId });
+    Section("only the recorded primary is promoted", [&] {
+      std::set<ServerAddress> promoted;
+      std::set<ServerAddress> followers;
+      for (const FailoverAction& action : driver.actions) {
+        if (const auto* promote = std::get_if<Promote>(&action)) {
+          promoted.insert(promote->server);
+        } else if (const auto* follow = std::get_if<Follow>(&action)) {
+          followers.insert(follow->server);
+        }
+      }
+      CPPUNIT_ASSERT(promoted == std::set<ServerAddress>{ kThird });
+      CPPUNIT_ASSERT(followers == (std::set<ServerAddress>{ kFirst, kSecond }));
+    });
+    Section("peers are told once it leads", [&] {
+      CPPUNIT_ASSERT(!driver.Take<Announce>().has_value());
+      driver.Give(PromoteAnswered{ kThird, 2, true, { 2, { 1, 9 }, true } });
+      CPPUNIT_ASSERT(driver.Take<Announce>().has_value());
+    });
+  }
+
+  void NeedsAgreementInAnotherFailureDomain()
+  {
+    Section("a peer of the own failure domain is not enough", [] {
+      Driver driver;
+      driver.ReachQuerying();
+      driver.Give(PeerAnswered{ VmId("vm-2"), FailureDomainName("1"), 1, true });
+      driver.Give(PeerAnswered{ VmId("vm-3"), FailureDomainName("1"), 1, true });
+      CPPUNIT_ASSERT(driver.decision.Phase() == FailoverPhase::BackingOff);
+    });
+    Section("a minority is not enough", [] {
+      Driver driver;
+      driver.Give(MembersChanged{ { VmId("vm-2"), VmId("vm-3"), VmId("vm-4") } });
+      driver.ReachQuerying();
+      driver.Give(PeerAnswered{ VmId("vm-2"), FailureDomainName("2"), 1, false });
+      driver.Give(PeerAnswered{ VmId("vm-3"), FailureDomainName("3"), 1, false });
+      driver.Wait(400);
+      CPPUNIT_ASSERT(!driver.Take<ReadRow>().has_value());
+    });
+    Section("an answer about an earlier term does not count", [] {
+      Driver driver;
+      driver.ReachQuerying();
+      driver.Give(PeerAnswered{ VmId("vm-2"), FailureDomainName("2"), 0, true });
+      driver.Wait(400);
+      CPPUNIT_ASSERT(!driver.Take<ReadRow>().has_value());
+    });
+    Section("nothing is asked while the platform is down", [] {
+      Driver driver;
+      driver.Give(Tick{});
+      driver.AnswerRead(Driver::kRow);
+      driver.Give(PlatformStateChanged{ false, driver.now });
+      driver.Give(SuspicionChanged{ 1, true });
+      driver.Wait(3000);
+      CPPUNIT_ASSERT(driver.decision.Phase() == FailoverPhase::Idle);
+    });
+  }
+
+  void ResolvesALostCompareAndSet()
+  {
+    Section("the row shows that it took effect", [] {
+      Driver driver;
+      PrimaryRow row = driver.ReachRecording();
+      driver.Give(RowWriteLost{ row.operationId });
+      ++row.version;
+      driver.AnswerRead(row);
+      CPPUNIT_ASSERT(driver.decision.Phase() == FailoverPhase::Promoting);
+    });
+    Section("the row shows that it did not: the same write is tried again", [] {
+      Driver driver;
+      const PrimaryRow row = driver.ReachRecording();
+      driver.Wait(1500);
+      driver.AnswerRead(Driver::kRow);
+      const auto again = driver.Take<CompareAndSetRow>();
+      CPPUNIT_ASSERT(again.has_value() && again->row == row);
+    });
+    Section("the second try meets the first one", [] {
+      Driver driver;
+      PrimaryRow row = driver.ReachRecording();
+      driver.Give(RowWriteLost{ row.operationId });
+      driver.AnswerRead(Driver::kRow);
+      const std::string operationId = row.operationId;
+      ++row.version;
+      driver.Give(RowConflicted{ operationId, row });
+      CPPUNIT_ASSERT(driver.decision.Phase() == FailoverPhase::Promoting);
+    });
+    Section("reads that fail are repeated, not given up", [] {
+      Driver driver;
+      PrimaryRow row = driver.ReachRecording();
+      driver.Give(RowWriteLost{ row.operationId });
+      for (int i = 0; i < 5; ++i) {
+        const auto read = driver.Take<ReadRow>();
+        CPPUNIT_ASSERT(read.has_value());
+        driver.Give(RowReadFailed{ read->request });
+        driver.Wait(3500);
+      }
+      ++row.version;
+      driver.AnswerRead(row);
+      CPPUNIT_ASSERT(driver.decision.Phase() == FailoverPhase::Promoting);
+    });
+  }
+
+  void YieldsToTheWinnerOfARace()
+  {
+    Driver driver;
+    const PrimaryRow row = driver.ReachRecording();
+    driver.Give(RowConflicted{ row.operationId, { 5, 2, kSecond, "other" } });
+    CPPUNIT_ASSERT(!driver.Take<Promote>().has_value());
+    CPPUNIT_ASSERT(driver.decision.KnownPrimary() == kSecond);
+    CPPUNIT_ASSERT(driver.decision.Phase() == FailoverPhase::Idle);
+  }
+
+  void FinishesWhatTheRowRecords()
+  {
+    Driver driver;
+    driver.Give(Tick{});
+    driver.AnswerRead({ 5, 2, kSecond, "of a VM that died" });
+    for (int i = 0; i < 40 && driver.decision.Phase() == FailoverPhase::Idle; ++i) {
+      driver.Give(ServerReported{ kSecond, { 2, { 1, 9 }, false } });
+      driver.Wait(100);
+    }
+    driver.AnswerRead({ 5, 2, kSecond, "of a VM that died" });
+    const auto promote = driver.Take<Promote>();
+    CPPUNIT_ASSERT(promote.has_value() && promote->server == kSecond && promote->term == 2);
+  }
+
+  void RecordsTheFirstPrimary()
+  {
+    Driver driver;
+    driver.Give(Tick{});
+    driver.AnswerRead({});
+    driver.Wait(2000);
+    driver.AnswerRead({});
+    driver.Give(AcceptTermAnswered{ kFirst, 1, true, { 1, {}, false } });
+    driver.Give(AcceptTermAnswered{ kSecond, 1, true, { 1, {}, false } });
+    const auto write = driver.Take<CompareAndSetRow>();
+    CPPUNIT_ASSERT(write.has_value() && write->row.version == 0 && write->row.term == 1);
+  }
+
+  void IgnoresAnswersOfOtherAttempts()
+  {
+    Driver driver;
+    driver.ReachFencing();
+    driver.Give(AcceptTermAnswered{ kSecond, 1, true, { 1, { 1, 7 }, false } });
+    driver.Give(AcceptTermAnswered{ kThird, 1, true, { 1, { 1, 9 }, false } });
+    driver.Give(RowWritten{ "vm-1/1/0" });
+    CPPUNIT_ASSERT(driver.decision.Phase() == FailoverPhase::Fencing);
+    Section("a server that has accepted a later term ends the attempt", [&] {
+      driver.Give(AcceptTermAnswered{ kThird, 2, false, { 3, { 1, 9 }, false } });
+      CPPUNIT_ASSERT(driver.decision.Phase() == FailoverPhase::BackingOff);
+      driver.AnswerRead({ 6, 3, kThird, "other" });
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 3 }, driver.decision.KnownTerm());
+    });
+    Section("operation ids of a restarted process differ", [] {
+      Driver before(1);
+      Driver after(2);
+      CPPUNIT_ASSERT(before.ReachRecording().operationId != after.ReachRecording().operationId);
+    });
+  }
+
+  void RanksVmsAlikeEverywhere()
+  {
+    constexpr std::size_t kVms = 12;
+    std::vector<VmId> members;
+    members.reserve(kVms);
+    for (std::size_t i = 0; i < kVms; ++i) {
+      members.emplace_back("vm-" + std::to_string(i));
+    }
+    std::set<VmId> firsts;
+    for (int database = 0; database < 100; ++database) {
+      const DatabaseName name("database-" + std::to_string(database));
+      std::set<unsigned> ranks;
+      for (const VmId& member : members) {
+        const unsigned rank = RankOf(name, member, members);
+        ranks.insert(rank);
+        if (rank == 0) {
+          firsts.insert(member);
+        }
+      }
+      CPPUNIT_ASSERT_EQUAL(members.size(), ranks.size());
+    }
+    CPPUNIT_ASSERT_EQUAL(members.size(), firsts.size());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FailoverDecisionTest);
+
+} // namespace mustardshift
--- /dev/null
+++ b/packages/core/tests/SuspicionTrackerTest.cpp
@@ -0,0 +1,88 @@
+#include "core/failover/SuspicionTracker.h"
+#include "support/Section.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace mustardshift {
+
+using test::Section;
+
+namespace {
+
+const DatabaseName kDatabase("orders");
+const ServerAddress kPrimary("a");
+
+Instant At(std::int64_t aMilliseconds)
+{
+  return Instant{ std::chrono::milliseconds(aMilliseconds) };
+}
+
+} // namespace
+
+/** Guards against primaries that are suspected too late, and against a VM that suspects everybody
+    because it was paused itself. */
+class SuspicionTrackerTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(SuspicionTrackerTest);
+  CPPUNIT_TEST(SuspectsASilentPrimary);
+  CPPUNIT_TEST(SuspectsNobodyAfterAPause);
+  CPPUNIT_TEST(StartsAnewWithANewPrimary);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void SuspectsASilentPrimary()
+  {
+    SuspicionTracker tracker;
+    tracker.Watch(kDatabase, 1, kPrimary, At(0));
+    tracker.RecordResponse(kDatabase, 1, kPrimary, At(100));
+    tracker.RecordFailure(kDatabase, kPrimary);
+    tracker.RecordFailure(kDatabase, kPrimary);
+    CPPUNIT_ASSERT(!tracker.IsSuspected(kDatabase, At(699)));
+    CPPUNIT_ASSERT(tracker.IsSuspected(kDatabase, At(700)));
+    CPPUNIT_ASSERT(tracker.Suspected(At(700)) == std::vector<DatabaseName>{ kDatabase });
+    Section("responses of other servers and terms don't clear it", [&] {
+      tracker.RecordResponse(kDatabase, 1, ServerAddress("b"), At(800));
+      tracker.RecordResponse(kDatabase, 2, kPrimary, At(800));
+      CPPUNIT_ASSERT(tracker.IsSuspected(kDatabase, At(800)));
+    });
+    Section("a valid response clears it", [&] {
+      tracker.RecordResponse(kDatabase, 1, kPrimary, At(900));
+      CPPUNIT_ASSERT(!tracker.IsSuspected(kDatabase, At(5000)));
+    });
+    Section("a database that is forgotten is not suspected", [&] {
+      tracker.Forget(kDatabase);
+      CPPUNIT_ASSERT(!tracker.IsSuspected(kDatabase, At(9000)));
+    });
+  }
+
+  void SuspectsNobodyAfterAPause()
+  {
+    SuspicionTracker tracker;
+    tracker.Watch(kDatabase, 1, kPrimary, At(0));
+    tracker.RecordResponse(kDatabase, 1, kPrimary, At(100));
+    // The probe that was under way counts as failed right after the pause.
+    tracker.RecordFailure(kDatabase, kPrimary);
+    CPPUNIT_ASSERT(!tracker.IsSuspected(kDatabase, At(60'000)));
+    tracker.RecordFailure(kDatabase, kPrimary);
+    CPPUNIT_ASSERT(tracker.IsSuspected(kDatabase, At(60'000)));
+  }
+
+  void StartsAnewWithANewPrimary()
+  {
+    SuspicionTracker tracker;
+    tracker.Watch(kDatabase, 1, kPrimary, At(0));
+    tracker.RecordFailure(kDatabase, kPrimary);
+    tracker.RecordFailure(kDatabase, kPrimary);
+    CPPUNIT_ASSERT(tracker.IsSuspected(kDatabase, At(1000)));
+    Section("watching the same primary again changes nothing", [&] {
+      tracker.Watch(kDatabase, 1, kPrimary, At(1000));
+      CPPUNIT_ASSERT(tracker.IsSuspected(kDatabase, At(1000)));
+    });
+    tracker.Watch(kDatabase, 2, kPrimary, At(1000));
+    CPPUNIT_ASSERT(!tracker.IsSuspected(kDatabase, At(9000)));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(SuspicionTrackerTest);
+
+} // namespace mustardshift
