Ask the peers about a suspicion that comes up while the row is read

The VM read the row to finish a promotion; the recorded primary fell silent meanwhile, and the attempt went on as if its peers had agreed. Such an attempt now ends and starts with the query.

SuspicionTracker::IsSuspected takes the term, so that a suspicion of the former primary can't be taken for one of the present primary.

--- a/packages/core/failover/FailoverDecision.cpp
+++ b/packages/core/failover/FailoverDecision.cpp
@@ -168,12 +168,15 @@
   if (aEvent.request != this->readRequest || this->phase != FailoverPhase::Reading) {
     return;
   }
-  if (this->IsPromotionMissing()) {
+  const Cause present = this->FindCause();
+  if (present == Cause::NotPromoted) {
     this->StartPromoting();
-  } else if (this->FindCause() == Cause::None) {
-    this->Enter(FailoverPhase::Idle, Duration{ 0 });
-  } else {
+  } else if (present == Cause::FencedOnly ||
+             (present == Cause::Suspicion && this->cause == Cause::Suspicion)) {
     this->StartFencing(aEvent.row);
+  } else {
+    // Also for a suspicion that came up while the row was read: the peers have not been asked.
+    this->Enter(FailoverPhase::Idle, Duration{ 0 });
   }
 }
 
--- a/packages/core/failover/SuspicionTracker.cpp
+++ b/packages/core/failover/SuspicionTracker.cpp
@@ -53,10 +53,13 @@
   }
 }
 
-bool SuspicionTracker::IsSuspected(const DatabaseName& aDatabase, Instant aNow) const
+bool SuspicionTracker::IsSuspected(const DatabaseName& aDatabase,
+                                   std::uint64_t aTerm,
+                                   Instant aNow) const
 {
   const auto found = this->databases.find(aDatabase);
-  return found != this->databases.end() && this->IsSilent(found->second, aNow);
+  return found != this->databases.end() && found->second.term == aTerm &&
+         this->IsSilent(found->second, aNow);
 }
 
 std::vector<DatabaseName> SuspicionTracker::Suspected(Instant aNow) const
--- a/packages/core/failover/SuspicionTracker.h
+++ b/packages/core/failover/SuspicionTracker.h
@@ -41,9 +41,10 @@
   /** Takes a probe or request that failed, timed out, or showed that the server does not lead. */
   void RecordFailure(const DatabaseName& aDatabase, const ServerAddress& aServer);
 
-  bool IsSuspected(const DatabaseName& aDatabase, Instant aNow) const;
+  /** Tells whether the primary of this term is suspected; false when another term is watched. */
+  bool IsSuspected(const DatabaseName& aDatabase, std::uint64_t aTerm, Instant aNow) const;
 
-  /** All databases whose primary is suspected, in the order of their names. */
+  /** All databases whose watched primary is suspected, in the order of their names. */
   std::vector<DatabaseName> Suspected(Instant aNow) const;
 
 private:
--- a/packages/core/tests/FailoverDecisionTest.cpp
+++ b/packages/core/tests/FailoverDecisionTest.cpp
@@ -128,6 +128,7 @@
   CPPUNIT_TEST(ResolvesALostCompareAndSet);
   CPPUNIT_TEST(YieldsToTheWinnerOfARace);
   CPPUNIT_TEST(FinishesWhatTheRowRecords);
+  CPPUNIT_TEST(AsksPeersAboutASuspicionThatComesUpLate);
   CPPUNIT_TEST(RecordsTheFirstPrimary);
   CPPUNIT_TEST(IgnoresAnswersOfOtherAttempts);
   CPPUNIT_TEST(RanksVmsAlikeEverywhere);
@@ -264,6 +265,24 @@
     CPPUNIT_ASSERT(promote.has_value() && promote->server == kSecond && promote->term == 2);
   }
 
+  void AsksPeersAboutASuspicionThatComesUpLate()
+  {
+    // The recorded primary stops answering while the row is read in order to promote it.
+    Driver driver;
+    driver.Give(Tick{});
+    driver.AnswerRead(Driver::kRow);
+    while (driver.decision.Phase() == FailoverPhase::Idle) {
+      driver.Give(ServerReported{ kFirst, { 1, { 1, 9 }, false } });
+      driver.Wait(100);
+    }
+    CPPUNIT_ASSERT(driver.decision.Phase() == FailoverPhase::Reading);
+    driver.Give(SuspicionChanged{ 1, true });
+    driver.now += Duration{ 995'000 };
+    driver.AnswerRead(Driver::kRow);
+    CPPUNIT_ASSERT(driver.decision.Phase() != FailoverPhase::Fencing);
+    CPPUNIT_ASSERT(!driver.Take<AcceptTerm>().has_value());
+  }
+
   void RecordsTheFirstPrimary()
   {
     Driver driver;
--- a/packages/core/tests/FailoverHistoryTest.cpp
+++ b/packages/core/tests/FailoverHistoryTest.cpp
@@ -280,6 +280,9 @@
     std::cout << histories << " histories, " << acknowledged << " acknowledged writes, "
               << promotions << " promotions, " << violations.size() << " violations\n";
     Print("first acknowledged write after the faults:", recoveries);
+    const auto slowest = std::max_element(recoveries.begin(), recoveries.end());
+    std::cout << "  slowest seed "
+              << first + static_cast<std::uint64_t>(slowest - recoveries.begin()) << "\n";
     for (std::size_t i = 0; i < std::min<std::size_t>(violations.size(), 10); ++i) {
       std::cout << "  " << violations[i] << "\n";
     }
--- a/packages/core/tests/FailoverModel.cpp
+++ b/packages/core/tests/FailoverModel.cpp
@@ -311,7 +311,7 @@
     }
   }
   const std::uint64_t term = vm.decision->KnownTerm();
-  const bool suspected = vm.tracker.IsSuspected(kDatabase, Instant{ this->now });
+  const bool suspected = vm.tracker.IsSuspected(kDatabase, term, Instant{ this->now });
   if (suspected) {
     this->suspectingDomains[term].insert(this->DomainOf(aVm));
   }
--- a/packages/core/tests/SuspicionTrackerTest.cpp
+++ b/packages/core/tests/SuspicionTrackerTest.cpp
@@ -37,21 +37,21 @@
     tracker.RecordResponse(kDatabase, 1, kPrimary, At(100));
     tracker.RecordFailure(kDatabase, kPrimary);
     tracker.RecordFailure(kDatabase, kPrimary);
-    CPPUNIT_ASSERT(!tracker.IsSuspected(kDatabase, At(699)));
-    CPPUNIT_ASSERT(tracker.IsSuspected(kDatabase, At(700)));
+    CPPUNIT_ASSERT(!tracker.IsSuspected(kDatabase, 1, At(699)));
+    CPPUNIT_ASSERT(tracker.IsSuspected(kDatabase, 1, At(700)));
     CPPUNIT_ASSERT(tracker.Suspected(At(700)) == std::vector<DatabaseName>{ kDatabase });
     Section("responses of other servers and terms don't clear it", [&] {
       tracker.RecordResponse(kDatabase, 1, ServerAddress("b"), At(800));
       tracker.RecordResponse(kDatabase, 2, kPrimary, At(800));
-      CPPUNIT_ASSERT(tracker.IsSuspected(kDatabase, At(800)));
+      CPPUNIT_ASSERT(tracker.IsSuspected(kDatabase, 1, At(800)));
     });
     Section("a valid response clears it", [&] {
       tracker.RecordResponse(kDatabase, 1, kPrimary, At(900));
-      CPPUNIT_ASSERT(!tracker.IsSuspected(kDatabase, At(5000)));
+      CPPUNIT_ASSERT(!tracker.IsSuspected(kDatabase, 1, At(5000)));
     });
     Section("a database that is forgotten is not suspected", [&] {
       tracker.Forget(kDatabase);
-      CPPUNIT_ASSERT(!tracker.IsSuspected(kDatabase, At(9000)));
+      CPPUNIT_ASSERT(!tracker.IsSuspected(kDatabase, 1, At(9000)));
     });
   }
 
@@ -62,9 +62,9 @@
     tracker.RecordResponse(kDatabase, 1, kPrimary, At(100));
     // The probe that was under way counts as failed right after the pause.
     tracker.RecordFailure(kDatabase, kPrimary);
-    CPPUNIT_ASSERT(!tracker.IsSuspected(kDatabase, At(60'000)));
+    CPPUNIT_ASSERT(!tracker.IsSuspected(kDatabase, 1, At(60'000)));
     tracker.RecordFailure(kDatabase, kPrimary);
-    CPPUNIT_ASSERT(tracker.IsSuspected(kDatabase, At(60'000)));
+    CPPUNIT_ASSERT(tracker.IsSuspected(kDatabase, 1, At(60'000)));
   }
 
   void StartsAnewWithANewPrimary()
@@ -73,13 +73,19 @@
     tracker.Watch(kDatabase, 1, kPrimary, At(0));
     tracker.RecordFailure(kDatabase, kPrimary);
     tracker.RecordFailure(kDatabase, kPrimary);
-    CPPUNIT_ASSERT(tracker.IsSuspected(kDatabase, At(1000)));
+    CPPUNIT_ASSERT(tracker.IsSuspected(kDatabase, 1, At(1000)));
     Section("watching the same primary again changes nothing", [&] {
       tracker.Watch(kDatabase, 1, kPrimary, At(1000));
-      CPPUNIT_ASSERT(tracker.IsSuspected(kDatabase, At(1000)));
+      CPPUNIT_ASSERT(tracker.IsSuspected(kDatabase, 1, At(1000)));
     });
     tracker.Watch(kDatabase, 2, kPrimary, At(1000));
-    CPPUNIT_ASSERT(!tracker.IsSuspected(kDatabase, At(9000)));
+    CPPUNIT_ASSERT(!tracker.IsSuspected(kDatabase, 2, At(9000)));
+    Section("a suspicion belongs to the term that is watched", [&] {
+      tracker.RecordFailure(kDatabase, kPrimary);
+      tracker.RecordFailure(kDatabase, kPrimary);
+      CPPUNIT_ASSERT(tracker.IsSuspected(kDatabase, 2, At(9000)));
+      CPPUNIT_ASSERT(!tracker.IsSuspected(kDatabase, 1, At(9000)));
+    });
   }
 };
 
