--- a/packages/protocol/peer/PeerState.h
+++ b/packages/protocol/peer/PeerState.h
@@ -16,9 +16,9 @@
 {
   std::uint64_t configurationVersion = 0;
   /** Age of the last confirmation of configurationVersion when the message was made; nothing when
-      it was never confirmed. The age in a Pong is at most this much before the Ping it answers was
-      sent; the age in a Ping says nothing about how long the Ping was on its way, so it confirms
-      nothing. */
+      it was never confirmed. The receiver of a Pong may count the confirmation as having happened
+      this long before it sent the Ping that the Pong answers. The age in a Ping confirms nothing,
+      because nobody knows how long the Ping was on its way. */
   std::optional<Duration> confirmationAge;
   /** False when the sender's last requests to the platform failed. */
   bool platformReachable = false;
