Test majority among peers, stale news and missed promotions

Of 16 faults put into the decisions by hand, two survived the tests: news of an earlier term replaced later knowledge, and one agreeing peer passed for a majority. Steps were added for both, and loops in the tests are bounded.

--- a/packages/core/tests/FailoverDecisionTest.cpp
+++ b/packages/core/tests/FailoverDecisionTest.cpp
@@ -92,7 +92,7 @@
     this->Wait(600);
     CPPUNIT_ASSERT(this->decision.Phase() == FailoverPhase::Querying ||
                    this->decision.Phase() == FailoverPhase::BackingOff);
-    while (this->decision.Phase() != FailoverPhase::Querying) {
+    for (int i = 0; i < 100 && this->decision.Phase() != FailoverPhase::Querying; ++i) {
       this->Wait(10);
     }
   }
@@ -172,10 +172,11 @@
     });
     Section("a minority is not enough", [] {
       Driver driver;
-      driver.Give(MembersChanged{ { VmId("vm-2"), VmId("vm-3"), VmId("vm-4") } });
       driver.ReachQuerying();
-      driver.Give(PeerAnswered{ VmId("vm-2"), FailureDomainName("2"), 1, false });
+      driver.Give(MembersChanged{ { VmId("vm-2"), VmId("vm-3"), VmId("vm-4"), VmId("vm-5") } });
+      driver.Give(PeerAnswered{ VmId("vm-2"), FailureDomainName("2"), 1, true });
       driver.Give(PeerAnswered{ VmId("vm-3"), FailureDomainName("3"), 1, false });
+      driver.Give(PeerAnswered{ VmId("vm-4"), FailureDomainName("4"), 1, false });
       driver.Wait(400);
       CPPUNIT_ASSERT(!driver.Take<ReadRow>().has_value());
     });
@@ -249,6 +250,12 @@
     CPPUNIT_ASSERT(!driver.Take<Promote>().has_value());
     CPPUNIT_ASSERT(driver.decision.KnownPrimary() == kSecond);
     CPPUNIT_ASSERT(driver.decision.Phase() == FailoverPhase::Idle);
+    Section("news of an earlier term changes nothing", [&] {
+      driver.Take<AdoptPrimary>();
+      driver.Give(PrimaryLearned{ 1, kFirst });
+      CPPUNIT_ASSERT(!driver.Take<AdoptPrimary>().has_value());
+      CPPUNIT_ASSERT(driver.decision.KnownPrimary() == kSecond);
+    });
   }
 
   void FinishesWhatTheRowRecords()
@@ -271,7 +278,7 @@
     Driver driver;
     driver.Give(Tick{});
     driver.AnswerRead(Driver::kRow);
-    while (driver.decision.Phase() == FailoverPhase::Idle) {
+    for (int i = 0; i < 40 && driver.decision.Phase() == FailoverPhase::Idle; ++i) {
       driver.Give(ServerReported{ kFirst, { 1, { 1, 9 }, false } });
       driver.Wait(100);
     }
