--- a/packages/daemon/failover/FailoverDriver.cpp
+++ b/packages/daemon/failover/FailoverDriver.cpp
@@ -168,7 +168,7 @@
 void FailoverDriver::Tick(Instant aNow)
 {
   for (auto& [database, group] : this->groups) {
-    const bool suspected = this->tracker.IsSuspected(database, aNow);
+    const bool suspected = this->tracker.IsSuspected(database, group.decision->KnownTerm(), aNow);
     if (suspected != group.wasSuspected) {
       group.wasSuspected = suspected;
       group.suspectedSince = aNow;
