Read settings and schema files without hanging on damaged YAML

YAML::LoadAll never returns, and allocates without bound, on texts such as one that begins with a comma; a schema file like that would have taken a VM down through ApplySchema. The reader now looks at two documents at most. Messages that quoted a control character broke the rule of one line a fault; control characters are replaced by spaces.

--- a/packages/adapters/settings/InputErrorCollector.cpp
+++ b/packages/adapters/settings/InputErrorCollector.cpp
@@ -9,6 +9,20 @@
 
 constexpr std::size_t kMaximumErrors = 100;
 
+/** Keeps a fault on one line: values and yaml-cpp's messages may contain line feeds. */
+std::string OnOneLine(std::string aText)
+{
+  std::replace_if(
+    aText.begin(),
+    aText.end(),
+    [](char aCharacter) {
+      const auto code = static_cast<unsigned char>(aCharacter);
+      return code < 0x20 || code == 0x7f;
+    },
+    ' ');
+  return aText;
+}
+
 } // namespace
 
 InputErrorCollector::InputErrorCollector(std::string aFile)
@@ -19,7 +33,8 @@
 void InputErrorCollector::Add(int aLine, std::string aKey, std::string aMessage)
 {
   if (this->errors.size() < kMaximumErrors) {
-    this->errors.push_back(InputError{ this->file, aLine, std::move(aKey), std::move(aMessage) });
+    this->errors.push_back(
+      InputError{ this->file, aLine, OnOneLine(std::move(aKey)), OnOneLine(std::move(aMessage)) });
   }
 }
 
--- a/packages/adapters/settings/YamlMap.cpp
+++ b/packages/adapters/settings/YamlMap.cpp
@@ -7,8 +7,11 @@
 #include <cmath>
 #include <cstdio>
 #include <memory>
+#include <sstream>
 #include <system_error>
 #include <utility>
+#include <yaml-cpp/eventhandler.h>
+#include <yaml-cpp/parser.h>
 
 namespace mustardshift {
 
@@ -18,16 +21,11 @@
 constexpr std::size_t kMaximumTextSize = 4096;
 constexpr std::size_t kMaximumIdentifierSize = 64;
 
-/** Shows a value in a message: short, and on one line. */
+/** Shows a value in a message, shortened. */
 std::string Quote(const std::string& aText)
 {
   constexpr std::size_t kShown = 60;
-  std::string shown = aText.substr(0, kShown);
-  std::replace_if(
-    shown.begin(),
-    shown.end(),
-    [](char aCharacter) { return static_cast<unsigned char>(aCharacter) < 0x20; },
-    ' ');
+  const std::string shown = aText.substr(0, kShown);
   return "\"" + shown + (aText.size() > kShown ? "...\"" : "\"");
 }
 
@@ -74,6 +72,38 @@
   return error == std::errc{} ? std::string(text.data(), end) : "?";
 }
 
+/** Notes where the documents of a text start, and ignores their content. */
+class DocumentStarts : public YAML::EventHandler
+{
+public:
+  void OnDocumentStart(const YAML::Mark& aMark) override { this->lines.push_back(aMark.line + 1); }
+  void OnDocumentEnd() override {}
+  void OnNull(const YAML::Mark& /*aMark*/, YAML::anchor_t /*aAnchor*/) override {}
+  void OnAlias(const YAML::Mark& /*aMark*/, YAML::anchor_t /*aAnchor*/) override {}
+  void OnScalar(const YAML::Mark& /*aMark*/,
+                const std::string& /*aTag*/,
+                YAML::anchor_t /*aAnchor*/,
+                const std::string& /*aValue*/) override
+  {
+  }
+  void OnSequenceStart(const YAML::Mark& /*aMark*/,
+                       const std::string& /*aTag*/,
+                       YAML::anchor_t /*aAnchor*/,
+                       YAML::EmitterStyle::value /*aStyle*/) override
+  {
+  }
+  void OnSequenceEnd() override {}
+  void OnMapStart(const YAML::Mark& /*aMark*/,
+                  const std::string& /*aTag*/,
+                  YAML::anchor_t /*aAnchor*/,
+                  YAML::EmitterStyle::value /*aStyle*/) override
+  {
+  }
+  void OnMapEnd() override {}
+
+  std::vector<int> lines;
+};
+
 /** Units of spans, from the largest, in microseconds. */
 constexpr std::array<std::pair<std::string_view, std::int64_t>, 4> kSpanUnits{ {
   { "min", 60'000'000 },
@@ -178,29 +208,36 @@
     aErrors.Add(0, "", "the file is larger than 4 MiB, expected at most 4 MiB");
     return std::nullopt;
   }
-  std::vector<YAML::Node> documents;
+  YAML::Node document;
   try {
-    documents = YAML::LoadAll(aText);
+    // YAML::Load alone would ignore what follows the first document. YAML::LoadAll never returns on
+    // some texts, such as one that begins with a comma, for which the parser yields empty documents
+    // without end; so no more than two are looked at.
+    std::istringstream input(aText);
+    YAML::Parser parser(input);
+    DocumentStarts starts;
+    while (starts.lines.size() < 2 && parser.HandleNextDocument(starts)) {
+    }
+    if (starts.lines.size() > 1) {
+      aErrors.Add(starts.lines[1], "", "a second YAML document starts here, expected one");
+      return std::nullopt;
+    }
+    document = YAML::Load(aText);
   } catch (const YAML::Exception& error) {
     aErrors.Add(error.mark.line + 1, "", "this is not YAML: " + error.msg);
     return std::nullopt;
   }
-  if (documents.empty() || documents.front().IsNull()) {
-    aErrors.Add(0, "", "the file is empty, expected a map of keys");
-    return std::nullopt;
-  }
-  if (documents.size() > 1) {
-    aErrors.Add(LineOf(documents[1]), "", "a second YAML document starts here, expected one");
+  if (document.IsNull()) {
+    aErrors.Add(0, "", "the file has no keys at its top, expected a map of keys");
     return std::nullopt;
   }
-  if (!documents.front().IsMap()) {
-    aErrors.Add(LineOf(documents.front()),
+  if (!document.IsMap()) {
+    aErrors.Add(LineOf(document),
                 "",
-                "the file is " + std::string(KindOf(documents.front())) +
-                  ", expected a map of keys");
+                "the file is " + std::string(KindOf(document)) + ", expected a map of keys");
     return std::nullopt;
   }
-  return documents.front();
+  return document;
 }
 
 YamlMap::YamlMap(const YAML::Node& aNode,
@@ -258,9 +295,9 @@
   return this->path.empty() ? aKey : this->path + "." + aKey;
 }
 
-void YamlMap::Report(const std::string& aKey, std::string aMessage)
+void YamlMap::Report(const std::string& aKey, const std::string& aMessage)
 {
-  this->errors.Add(this->LineOf(aKey), this->PathOf(aKey), std::move(aMessage));
+  this->errors.Add(this->LineOf(aKey), this->PathOf(aKey), aMessage);
 }
 
 YAML::Node YamlMap::Value(const std::string& aKey) const
--- a/packages/adapters/settings/YamlMap.h
+++ b/packages/adapters/settings/YamlMap.h
@@ -38,7 +38,7 @@
   std::string PathOf(const std::string& aKey) const;
 
   /** Reports a fault of a key. */
-  void Report(const std::string& aKey, std::string aMessage);
+  void Report(const std::string& aKey, const std::string& aMessage);
 
   /** Reads a text that is not empty and has at most 4096 bytes. Without a fallback the key is
       required. */
