Keep the gRPC callback threads until the process ends

adapters_test aborted in 2 of 12 runs with "assertion failed: prior > 0": gRPC 1.51 stops its callback threads with the last channel or server that uses them, which races with their next use. A channel that is never destroyed now holds them.

--- a/packages/adapters/channel/ChannelFactory.cpp
+++ b/packages/adapters/channel/ChannelFactory.cpp
@@ -1,5 +1,7 @@
 #include "adapters/channel/ChannelFactory.h"
 
+#include "adapters/channel/CallbackThreads.h"
+
 #include <grpcpp/create_channel.h>
 #include <grpcpp/security/credentials.h>
 #include <grpcpp/support/channel_arguments.h>
@@ -9,6 +11,7 @@
 std::shared_ptr<grpc::Channel> MakeChannel(const std::string& aAddress,
                                            const std::string& aUserAgent)
 {
+  KeepCallbackThreads();
   grpc::ChannelArguments arguments;
   // gRPC waits up to 120 s between attempts by default, longer than a failover may take.
   arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, 100);
--- a/tests/standins/common/ServerProcess.cpp
+++ b/tests/standins/common/ServerProcess.cpp
@@ -1,5 +1,7 @@
 #include "standins/common/ServerProcess.h"
 
+#include "adapters/channel/CallbackThreads.h"
+
 #include <grpcpp/security/server_credentials.h>
 #include <grpcpp/server_builder.h>
 
@@ -24,6 +26,7 @@
                                           const std::vector<grpc::Service*>& aServices,
                                           int& aPort)
 {
+  KeepCallbackThreads();
   grpc::ServerBuilder builder;
   builder.AddListeningPort(aListen, grpc::InsecureServerCredentials(), &aPort);
   // Two servers on one address would share its connections instead of the second one failing.
