--- a/packages/adapters/channel/CallbackThreads.cpp
+++ b/packages/adapters/channel/CallbackThreads.cpp
@@ -21,8 +21,12 @@
     // A buffer without a slice is not a message to gRPC.
     const grpc::Slice empty;
     this->request = grpc::ByteBuffer(&empty, 1);
-    this->stub.UnaryCall(
-      &this->context, "/none/None", {}, &this->request, &this->response, [](grpc::Status) {});
+    this->stub.UnaryCall(&this->context,
+                         "/none/None",
+                         {},
+                         &this->request,
+                         &this->response,
+                         [](const grpc::Status& /*aStatus*/) {});
   }
 
   std::shared_ptr<grpc::Channel> channel;
@@ -37,8 +41,8 @@
 void KeepCallbackThreads()
 {
   // Never destroyed.
-  static const auto* const holder = new Holder();
-  static_cast<void>(holder);
+  static const auto* const kHolder = new Holder();
+  static_cast<void>(kHolder);
 }
 
 } // namespace mustardshift
--- a/packages/adapters/database/DatabaseServerClient.cpp
+++ b/packages/adapters/database/DatabaseServerClient.cpp
@@ -46,14 +46,17 @@
   call->request = std::move(aRequest);
   call->callback = std::move(aCallback);
   const auto stub = v1::DatabaseServer::NewStub(aChannel);
-  aMethod(
-    *stub->async(), &call->context, &call->request, &call->response, [call](grpc::Status aStatus) {
-      if (aStatus.ok()) {
-        call->callback(std::move(call->response));
-      } else {
-        call->callback(tl::unexpected<Refusal>(RefusalOf(aStatus)));
-      }
-    });
+  aMethod(*stub->async(),
+          &call->context,
+          &call->request,
+          &call->response,
+          [call](const grpc::Status& aStatus) {
+            if (aStatus.ok()) {
+              call->callback(std::move(call->response));
+            } else {
+              call->callback(tl::unexpected<Refusal>(RefusalOf(aStatus)));
+            }
+          });
 }
 
 /** Runs a call that takes a callback, and waits for its result. */
--- a/packages/adapters/tests/DatabaseServerTest.cpp
+++ b/packages/adapters/tests/DatabaseServerTest.cpp
@@ -5,6 +5,8 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <chrono>
+#include <cstdio>
+#include <fstream>
 #include <memory>
 #include <string>
 #include <vector>
@@ -32,6 +34,7 @@
   CPPUNIT_TEST(CutsDivergentTails);
   CPPUNIT_TEST(IgnoresTermsWhenTold);
   CPPUNIT_TEST(KeepsWhatItReceived);
+  CPPUNIT_TEST(ComesBackWithItsState);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -441,6 +444,31 @@
     }
     CPPUNIT_ASSERT_EQUAL(0, server.ReceivedRecordsWith("absent-text"));
   }
+
+  void ComesBackWithItsState()
+  {
+    standin::DatabaseOptions options;
+    options.stateFile = "DatabaseServerTest.state";
+    std::remove(options.stateFile.c_str());
+    v1::ServerReport before;
+    {
+      ServerFixture server(options);
+      server.Lead(3);
+      const auto connection = DatabaseConnection::Open(server.Address());
+      Expect(*connection, ExecuteRequest(3, "ADD sum 5", {}, "deposit-1"));
+      before = *server.client->Report(kTimeout);
+    }
+    std::ofstream(options.stateFile, std::ios::app | std::ios::binary) << "torn";
+    for (int restart = 0; restart < 2; ++restart) {
+      ServerFixture server(options);
+      const auto after = *server.client->Report(kTimeout);
+      CPPUNIT_ASSERT_EQUAL(before.SerializeAsString(), after.SerializeAsString());
+      const auto connection = DatabaseConnection::Open(server.Address());
+      CPPUNIT_ASSERT(
+        Expect(*connection, ExecuteRequest(3, "ADD sum 5", {}, "deposit-1")).duplicate());
+    }
+    std::remove(options.stateFile.c_str());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DatabaseServerTest);
--- a/tests/standins/database/DatabaseEngine.cpp
+++ b/tests/standins/database/DatabaseEngine.cpp
@@ -5,7 +5,7 @@
 
 namespace mustardshift::standin {
 
-namespace v1 = database::v1;
+namespace dv1 = database::v1;
 
 namespace {
 
@@ -25,40 +25,45 @@
   , lag(aOptions.lag)
   , timer(aTimer)
   , roleChanged(std::move(aRoleChanged))
+  , stateFile(aOptions.stateFile)
 {
+  if (this->Restore()) {
+    return;
+  }
   if (aOptions.initialPrimary == this->address) {
     this->StartTerm(1);
   } else if (!aOptions.initialPrimary.empty()) {
     this->primary = aOptions.initialPrimary;
     this->followedTerm = 1;
   }
+  this->StoreRole();
 }
 
-bool DatabaseEngine::Begin(const v1::Request& aRequest,
+bool DatabaseEngine::Begin(const dv1::Request& aRequest,
                            Transaction& aTransaction,
-                           v1::Answer& aAnswer)
+                           dv1::Answer& aAnswer)
 {
   const std::lock_guard lock(this->mutex);
   if (!this->LeadsFor(aRequest.term())) {
-    this->Fill(aRequest, v1::ANSWER_STATUS_WRONG_TERM, aAnswer);
+    this->Fill(aRequest, dv1::ANSWER_STATUS_WRONG_TERM, aAnswer);
     return false;
   }
   aTransaction = Transaction();
   aTransaction.term = this->ledTerm;
-  this->Fill(aRequest, v1::ANSWER_STATUS_OK, aAnswer);
+  this->Fill(aRequest, dv1::ANSWER_STATUS_OK, aAnswer);
   return true;
 }
 
-void DatabaseEngine::Execute(const v1::Request& aRequest,
+void DatabaseEngine::Execute(const dv1::Request& aRequest,
                              Transaction* aTransaction,
-                             v1::Answer& aAnswer)
+                             dv1::Answer& aAnswer)
 {
   Lock lock(this->mutex);
-  const v1::Execute& execute = aRequest.execute();
+  const dv1::Execute& execute = aRequest.execute();
   const auto statement = ParseStatement(
     execute.statement(), { execute.parameters().begin(), execute.parameters().end() });
   if (!statement || (execute.read_only() && !statement->IsRead())) {
-    this->Fill(aRequest, v1::ANSWER_STATUS_INVALID, aAnswer);
+    this->Fill(aRequest, dv1::ANSWER_STATUS_INVALID, aAnswer);
     aAnswer.set_message("the statement is malformed or not allowed");
     return;
   }
@@ -66,12 +71,12 @@
   const bool termFits =
     replicaMayServe ? this->AcceptsTerm(aRequest.term()) : this->LeadsFor(aRequest.term());
   if (!termFits || (aTransaction && aTransaction->term != this->ledTerm)) {
-    this->Fill(aRequest, v1::ANSWER_STATUS_WRONG_TERM, aAnswer);
+    this->Fill(aRequest, dv1::ANSWER_STATUS_WRONG_TERM, aAnswer);
     return;
   }
   if (statement->IsRead()) {
     ++this->counters.reads;
-    this->Fill(aRequest, v1::ANSWER_STATUS_OK, aAnswer);
+    this->Fill(aRequest, dv1::ANSWER_STATUS_OK, aAnswer);
     this->RunRead(*statement, aTransaction, aAnswer);
     return;
   }
@@ -81,25 +86,25 @@
   }
   std::map<std::string, std::string> writes;
   std::vector<std::string> rows;
-  const v1::AnswerStatus status =
+  const dv1::AnswerStatus status =
     this->RunWrite(*statement, aTransaction, aTransaction ? aTransaction->writes : writes, rows);
-  if (status == v1::ANSWER_STATUS_OK && !aTransaction) {
+  if (status == dv1::ANSWER_STATUS_OK && !aTransaction) {
     this->AppendOwn(execute.request_id(), writes, rows);
   }
   this->Fill(aRequest, status, aAnswer);
-  if (status == v1::ANSWER_STATUS_OK) {
+  if (status == dv1::ANSWER_STATUS_OK) {
     aAnswer.mutable_rows()->Assign(rows.begin(), rows.end());
   }
   this->Notify(lock);
 }
 
-void DatabaseEngine::Commit(const v1::Request& aRequest,
+void DatabaseEngine::Commit(const dv1::Request& aRequest,
                             const Transaction& aTransaction,
-                            v1::Answer& aAnswer)
+                            dv1::Answer& aAnswer)
 {
   Lock lock(this->mutex);
   if (!this->LeadsFor(aRequest.term()) || aTransaction.term != this->ledTerm) {
-    this->Fill(aRequest, v1::ANSWER_STATUS_WRONG_TERM, aAnswer);
+    this->Fill(aRequest, dv1::ANSWER_STATUS_WRONG_TERM, aAnswer);
     return;
   }
   if (this->AnswerDuplicate(aRequest.commit().request_id(), aAnswer)) {
@@ -107,27 +112,27 @@
     return;
   }
   if (this->HasConflict(aTransaction)) {
-    this->Fill(aRequest, v1::ANSWER_STATUS_CONFLICT, aAnswer);
+    this->Fill(aRequest, dv1::ANSWER_STATUS_CONFLICT, aAnswer);
     return;
   }
   if (!aTransaction.writes.empty()) {
     this->AppendOwn(aRequest.commit().request_id(), aTransaction.writes, {});
   }
-  this->Fill(aRequest, v1::ANSWER_STATUS_OK, aAnswer);
+  this->Fill(aRequest, dv1::ANSWER_STATUS_OK, aAnswer);
   this->Notify(lock);
 }
 
-void DatabaseEngine::FillAnswer(const v1::Request& aRequest,
-                                v1::AnswerStatus aStatus,
-                                v1::Answer& aAnswer)
+void DatabaseEngine::FillAnswer(const dv1::Request& aRequest,
+                                dv1::AnswerStatus aStatus,
+                                dv1::Answer& aAnswer)
 {
   const std::lock_guard lock(this->mutex);
   this->Fill(aRequest, aStatus, aAnswer);
 }
 
-void DatabaseEngine::Wait(const v1::Request& aRequest, AnswerCallback aCallback)
+void DatabaseEngine::Wait(const dv1::Request& aRequest, AnswerCallback aCallback)
 {
-  v1::Answer answer;
+  dv1::Answer answer;
   {
     const std::lock_guard lock(this->mutex);
     const auto status = this->StatusOf(aRequest);
@@ -145,13 +150,13 @@
   aCallback(std::move(answer));
 }
 
-v1::ServerReport DatabaseEngine::Report()
+dv1::ServerReport DatabaseEngine::Report()
 {
   const std::lock_guard lock(this->mutex);
   return this->MakeReport(true);
 }
 
-v1::ServerReport DatabaseEngine::AcceptTerm(std::uint64_t aTerm)
+dv1::ServerReport DatabaseEngine::AcceptTerm(std::uint64_t aTerm)
 {
   Lock lock(this->mutex);
   if (aTerm < this->acceptedTerm) {
@@ -162,12 +167,13 @@
   if (higher && !this->faults.ignoreTerms) {
     this->LoseRole();
   }
-  v1::ServerReport report = this->MakeReport(true);
+  this->StoreRole();
+  dv1::ServerReport report = this->MakeReport(true);
   this->Notify(lock, higher);
   return report;
 }
 
-v1::ServerReport DatabaseEngine::Promote(std::uint64_t aTerm)
+dv1::ServerReport DatabaseEngine::Promote(std::uint64_t aTerm)
 {
   Lock lock(this->mutex);
   const bool followsInTerm = !this->primary.empty() && this->followedTerm == aTerm;
@@ -180,12 +186,13 @@
   this->acceptedTerm = aTerm;
   this->LoseRole();
   this->StartTerm(aTerm);
-  v1::ServerReport report = this->MakeReport(true);
+  this->StoreRole();
+  dv1::ServerReport report = this->MakeReport(true);
   this->Notify(lock, true);
   return report;
 }
 
-v1::ServerReport DatabaseEngine::Follow(std::uint64_t aTerm, const std::string& aPrimary)
+dv1::ServerReport DatabaseEngine::Follow(std::uint64_t aTerm, const std::string& aPrimary)
 {
   Lock lock(this->mutex);
   const bool leadsInTerm = this->leads && this->ledTerm == aTerm;
@@ -199,22 +206,23 @@
   this->LoseRole();
   this->followedTerm = aTerm;
   this->primary = aPrimary;
-  v1::ServerReport report = this->MakeReport(true);
+  this->StoreRole();
+  dv1::ServerReport report = this->MakeReport(true);
   this->Notify(lock, true);
   return report;
 }
 
-v1::LookUpRequestResponse DatabaseEngine::LookUpRequest(const std::string& aRequestId)
+dv1::LookUpRequestResponse DatabaseEngine::LookUpRequest(const std::string& aRequestId)
 {
   const std::lock_guard lock(this->mutex);
-  v1::LookUpRequestResponse response;
+  dv1::LookUpRequestResponse response;
   response.set_accepted_term(this->acceptedTerm);
   response.set_leads(this->leads);
   const auto found = this->requests.find(aRequestId);
   if (aRequestId.empty() || found == this->requests.end()) {
     return response;
   }
-  const v1::LogEntry& entry = this->log[found->second - 1];
+  const dv1::LogEntry& entry = this->log[found->second - 1];
   response.set_found(true);
   response.mutable_position()->set_term(entry.term());
   response.mutable_position()->set_offset(found->second);
@@ -222,9 +230,9 @@
   return response;
 }
 
-void DatabaseEngine::Replicate(const v1::ReplicateRequest& aRequest, ReplicateCallback aCallback)
+void DatabaseEngine::Replicate(const dv1::ReplicateRequest& aRequest, ReplicateCallback aCallback)
 {
-  std::optional<v1::ReplicateResponse> response;
+  std::optional<dv1::ReplicateResponse> response;
   bool stepsDown = false;
   {
     Lock lock(this->mutex);
@@ -234,6 +242,7 @@
       if (stepsDown) {
         this->acceptedTerm = aRequest.term();
         this->LoseRole();
+        this->StoreRole();
       }
       response = this->MakeReplicateResponse(aRequest);
       const bool nothingNew =
@@ -272,7 +281,7 @@
   return pull;
 }
 
-void DatabaseEngine::TakeEntries(const Pull& aPull, const v1::ReplicateResponse& aResponse)
+void DatabaseEngine::TakeEntries(const Pull& aPull, const dv1::ReplicateResponse& aResponse)
 {
   Lock lock(this->mutex);
   const std::uint64_t end = this->log.size() + this->pending.size();
@@ -287,7 +296,7 @@
     return;
   }
   const bool immediate = this->lag.count() == 0 && this->pending.empty();
-  for (const v1::LogEntry& entry : aResponse.entries()) {
+  for (const dv1::LogEntry& entry : aResponse.entries()) {
     if (immediate) {
       this->Append(entry);
     } else {
@@ -308,6 +317,7 @@
   const std::uint64_t ownTerm = this->leads ? this->ledTerm : this->followedTerm;
   if (stopsIgnoring && ownTerm < this->acceptedTerm) {
     this->LoseRole();
+    this->StoreRole();
   }
   lock.unlock();
   this->ApplyDue();
@@ -328,17 +338,17 @@
   return aOffset == 0 ? 0 : this->log[aOffset - 1].term();
 }
 
-v1::Position DatabaseEngine::EndPosition() const
+dv1::Position DatabaseEngine::EndPosition() const
 {
-  v1::Position position;
+  dv1::Position position;
   position.set_term(this->TermAt(this->log.size()));
   position.set_offset(this->log.size());
   return position;
 }
 
-v1::ServerReport DatabaseEngine::MakeReport(bool aAccepted) const
+dv1::ServerReport DatabaseEngine::MakeReport(bool aAccepted) const
 {
-  v1::ServerReport report;
+  dv1::ServerReport report;
   report.set_accepted_term(this->acceptedTerm);
   *report.mutable_position() = this->EndPosition();
   report.set_leads(this->leads);
@@ -347,17 +357,17 @@
   return report;
 }
 
-void DatabaseEngine::Fill(const v1::Request& aRequest,
-                          v1::AnswerStatus aStatus,
-                          v1::Answer& aAnswer)
+void DatabaseEngine::Fill(const dv1::Request& aRequest,
+                          dv1::AnswerStatus aStatus,
+                          dv1::Answer& aAnswer)
 {
   aAnswer.set_id(aRequest.id());
   aAnswer.set_status(aStatus);
   aAnswer.set_accepted_term(this->acceptedTerm);
   *aAnswer.mutable_position() = this->EndPosition();
-  if (aStatus == v1::ANSWER_STATUS_WRONG_TERM) {
+  if (aStatus == dv1::ANSWER_STATUS_WRONG_TERM) {
     ++this->counters.wrongTerms;
-  } else if (aStatus == v1::ANSWER_STATUS_CONFLICT) {
+  } else if (aStatus == dv1::ANSWER_STATUS_CONFLICT) {
     ++this->counters.conflicts;
   }
 }
@@ -372,7 +382,7 @@
   return this->leads && this->AcceptsTerm(aTerm);
 }
 
-bool DatabaseEngine::AnswerDuplicate(const std::string& aRequestId, v1::Answer& aAnswer)
+bool DatabaseEngine::AnswerDuplicate(const std::string& aRequestId, dv1::Answer& aAnswer)
 {
   if (aRequestId.empty()) {
     return false;
@@ -381,9 +391,9 @@
   if (found == this->requests.end()) {
     return false;
   }
-  const v1::LogEntry& entry = this->log[found->second - 1];
+  const dv1::LogEntry& entry = this->log[found->second - 1];
   ++this->counters.duplicates;
-  aAnswer.set_status(v1::ANSWER_STATUS_OK);
+  aAnswer.set_status(dv1::ANSWER_STATUS_OK);
   aAnswer.set_accepted_term(this->acceptedTerm);
   aAnswer.mutable_position()->set_term(entry.term());
   aAnswer.mutable_position()->set_offset(found->second);
@@ -408,7 +418,7 @@
 
 void DatabaseEngine::RunRead(const Statement& aStatement,
                              Transaction* aTransaction,
-                             v1::Answer& aAnswer)
+                             dv1::Answer& aAnswer)
 {
   if (aStatement.kind == Statement::Kind::Get) {
     if (const auto value = this->Value(aStatement.key, aTransaction)) {
@@ -434,40 +444,42 @@
     bytes += key.size() + value.size() + 8;
     if (bytes > kMaximumAnswerBytes) {
       aAnswer.clear_rows();
-      aAnswer.set_status(v1::ANSWER_STATUS_INVALID);
+      aAnswer.set_status(dv1::ANSWER_STATUS_INVALID);
       aAnswer.set_message("the result is too long");
       return;
     }
-    aAnswer.add_rows(key + " " + value);
+    std::string& row = *aAnswer.add_rows();
+    row.reserve(key.size() + value.size() + 1);
+    row.append(key).append(" ").append(value);
   }
 }
 
-v1::AnswerStatus DatabaseEngine::RunWrite(const Statement& aStatement,
-                                          Transaction* aTransaction,
-                                          std::map<std::string, std::string>& aWrites,
-                                          std::vector<std::string>& aRows)
+dv1::AnswerStatus DatabaseEngine::RunWrite(const Statement& aStatement,
+                                           Transaction* aTransaction,
+                                           std::map<std::string, std::string>& aWrites,
+                                           std::vector<std::string>& aRows)
 {
   const auto present = this->Value(aStatement.key, aTransaction);
   switch (aStatement.kind) {
     case Statement::Kind::Insert:
       if (present) {
-        return v1::ANSWER_STATUS_CONFLICT;
+        return dv1::ANSWER_STATUS_CONFLICT;
       }
       aWrites[aStatement.key] = aStatement.value;
-      return v1::ANSWER_STATUS_OK;
+      return dv1::ANSWER_STATUS_OK;
     case Statement::Kind::Add: {
       const auto number = present ? ParseNumber(*present) : std::optional<std::int64_t>(0);
       std::int64_t sum = 0;
       if (!number || __builtin_add_overflow(*number, aStatement.number, &sum)) {
-        return v1::ANSWER_STATUS_INVALID;
+        return dv1::ANSWER_STATUS_INVALID;
       }
       aWrites[aStatement.key] = std::to_string(sum);
       aRows.push_back(std::to_string(sum));
-      return v1::ANSWER_STATUS_OK;
+      return dv1::ANSWER_STATUS_OK;
     }
     default:
       aWrites[aStatement.key] = aStatement.value;
-      return v1::ANSWER_STATUS_OK;
+      return dv1::ANSWER_STATUS_OK;
   }
 }
 
@@ -495,7 +507,7 @@
                                const std::map<std::string, std::string>& aWrites,
                                const std::vector<std::string>& aRows)
 {
-  v1::LogEntry entry;
+  dv1::LogEntry entry;
   entry.set_term(this->ledTerm);
   entry.set_request_id(aRequestId);
   for (const auto& [key, value] : aWrites) {
@@ -506,11 +518,16 @@
   this->Append(std::move(entry));
 }
 
-void DatabaseEngine::Append(v1::LogEntry aEntry)
+void DatabaseEngine::Append(dv1::LogEntry aEntry)
 {
+  if (!this->restoring) {
+    v1::StateRecord record;
+    record.set_entry(aEntry.SerializeAsString());
+    this->stateFile.Append(record);
+  }
   const std::uint64_t offset = this->log.size() + 1;
   if (this->history.empty() || this->history.back().term() < aEntry.term()) {
-    v1::TermStart start;
+    dv1::TermStart start;
     start.set_term(aEntry.term());
     start.set_first_offset(offset);
     this->history.push_back(start);
@@ -535,8 +552,13 @@
     return;
   }
   this->counters.cutLogEntries += this->log.size() - aLength;
+  if (!this->restoring) {
+    v1::StateRecord record;
+    record.set_cut_to(aLength);
+    this->stateFile.Append(record);
+  }
   // The entries hold no earlier values, so the data is built anew from the remaining log.
-  std::vector<v1::LogEntry> kept(
+  std::vector<dv1::LogEntry> kept(
     std::make_move_iterator(this->log.begin()),
     std::make_move_iterator(this->log.begin() + static_cast<std::ptrdiff_t>(aLength)));
   this->log.clear();
@@ -544,20 +566,56 @@
   this->data.clear();
   this->versions.clear();
   this->requests.clear();
-  for (v1::LogEntry& entry : kept) {
+  const bool wasRestoring = std::exchange(this->restoring, true);
+  for (dv1::LogEntry& entry : kept) {
     this->Append(std::move(entry));
   }
+  this->restoring = wasRestoring;
 }
 
 void DatabaseEngine::StartTerm(std::uint64_t aTerm)
 {
   this->leads = true;
   this->ledTerm = aTerm;
-  v1::LogEntry start;
+  dv1::LogEntry start;
   start.set_term(aTerm);
   this->Append(std::move(start));
 }
 
+bool DatabaseEngine::Restore()
+{
+  const auto records = this->stateFile.TakeRecords();
+  this->restoring = true;
+  for (const v1::StateRecord& record : records) {
+    dv1::LogEntry entry;
+    if (record.has_role()) {
+      this->acceptedTerm = record.role().accepted_term();
+      this->leads = record.role().leads();
+      this->ledTerm = record.role().led_term();
+      this->primary = record.role().primary();
+      this->followedTerm = record.role().followed_term();
+    } else if (record.change_case() == v1::StateRecord::kCutTo) {
+      this->CutLog(record.cut_to());
+    } else if (entry.ParseFromString(record.entry())) {
+      this->Append(std::move(entry));
+    }
+  }
+  this->restoring = false;
+  return !records.empty();
+}
+
+void DatabaseEngine::StoreRole()
+{
+  v1::StateRecord record;
+  v1::RoleRecord& role = *record.mutable_role();
+  role.set_accepted_term(this->acceptedTerm);
+  role.set_leads(this->leads);
+  role.set_led_term(this->ledTerm);
+  role.set_primary(this->primary);
+  role.set_followed_term(this->followedTerm);
+  this->stateFile.Append(record);
+}
+
 void DatabaseEngine::LoseRole()
 {
   this->leads = false;
@@ -569,12 +627,12 @@
   ++this->generation;
 }
 
-std::optional<v1::AnswerStatus> DatabaseEngine::StatusOf(const v1::Request& aWait) const
+std::optional<dv1::AnswerStatus> DatabaseEngine::StatusOf(const dv1::Request& aWait) const
 {
   if (!this->AcceptsTerm(aWait.term())) {
-    return v1::ANSWER_STATUS_WRONG_TERM;
+    return dv1::ANSWER_STATUS_WRONG_TERM;
   }
-  const v1::Position& position = aWait.wait().position();
+  const dv1::Position& position = aWait.wait().position();
   if (position.offset() > this->log.size()) {
     return std::nullopt;
   }
@@ -582,13 +640,13 @@
   if (position.offset() > 0 && this->TermAt(position.offset()) != position.term()) {
     return std::nullopt;
   }
-  return v1::ANSWER_STATUS_OK;
+  return dv1::ANSWER_STATUS_OK;
 }
 
-v1::ReplicateResponse DatabaseEngine::MakeReplicateResponse(
-  const v1::ReplicateRequest& aRequest) const
+dv1::ReplicateResponse DatabaseEngine::MakeReplicateResponse(
+  const dv1::ReplicateRequest& aRequest) const
 {
-  v1::ReplicateResponse response;
+  dv1::ReplicateResponse response;
   response.set_accepted_term(this->acceptedTerm);
   const bool termFits = this->faults.ignoreTerms || aRequest.term() == this->acceptedTerm;
   if (!this->leads || !termFits) {
@@ -611,7 +669,7 @@
   }
   std::size_t bytes = 0;
   for (std::uint64_t offset = after; offset < this->log.size(); ++offset) {
-    const v1::LogEntry& entry = this->log[offset];
+    const dv1::LogEntry& entry = this->log[offset];
     bytes += entry.ByteSizeLong();
     if (response.entries_size() > 0 &&
         (bytes > kMaximumBatchBytes || response.entries_size() == kMaximumBatchEntries)) {
@@ -639,7 +697,7 @@
 void DatabaseEngine::WaitTimedOut(std::uint64_t aId)
 {
   AnswerCallback callback;
-  v1::Answer answer;
+  dv1::Answer answer;
   {
     const std::lock_guard lock(this->mutex);
     const auto found = this->waiters.find(aId);
@@ -647,7 +705,7 @@
       return;
     }
     callback = std::move(found->second.callback);
-    this->Fill(found->second.request, v1::ANSWER_STATUS_BEHIND, answer);
+    this->Fill(found->second.request, dv1::ANSWER_STATUS_BEHIND, answer);
     this->waiters.erase(found);
   }
   callback(std::move(answer));
@@ -656,7 +714,7 @@
 void DatabaseEngine::ParkTimedOut(std::uint64_t aId)
 {
   ReplicateCallback callback;
-  std::optional<v1::ReplicateResponse> response;
+  std::optional<dv1::ReplicateResponse> response;
   {
     const std::lock_guard lock(this->mutex);
     const auto found = this->parked.find(aId);
@@ -681,7 +739,7 @@
       ++waiter;
       continue;
     }
-    v1::Answer answer;
+    dv1::Answer answer;
     this->Fill(waiter->second.request, *status, answer);
     this->timer.Cancel(waiter->second.ticket);
     calls.emplace_back([callback = std::move(waiter->second.callback), answer = std::move(answer)] {
@@ -690,7 +748,7 @@
     waiter = this->waiters.erase(waiter);
   }
   for (auto replica = this->parked.begin(); replica != this->parked.end();) {
-    std::optional<v1::ReplicateResponse> response;
+    std::optional<dv1::ReplicateResponse> response;
     if (!this->faults.cutOff) {
       response = this->MakeReplicateResponse(replica->second.request);
       if (response->accepted() && !response->truncate() && response->entries_size() == 0) {
--- a/tests/standins/database/DatabaseEngine.h
+++ b/tests/standins/database/DatabaseEngine.h
@@ -4,6 +4,7 @@
 #include "core/base/Instant.h"
 #include "database.pb.h"
 #include "standins/database/DatabaseOptions.h"
+#include "standins/database/StateFile.h"
 #include "standins/database/Statement.h"
 #include "standins/database/Transaction.h"
 
@@ -159,6 +160,9 @@
   void Append(database::v1::LogEntry aEntry);
   void CutLog(std::uint64_t aLength);
   void StartTerm(std::uint64_t aTerm);
+  /** Takes up the log, terms and role of an earlier process; returns false when there was none. */
+  bool Restore();
+  void StoreRole();
   void LoseRole();
   std::optional<database::v1::AnswerStatus> StatusOf(const database::v1::Request& aWait) const;
   database::v1::ReplicateResponse MakeReplicateResponse(
@@ -175,6 +179,9 @@
   DeadlineTimer& timer;
   const std::function<void()> roleChanged;
   Faults faults;
+  StateFile stateFile;
+  /** True while records of the state file are applied, which must not be stored again. */
+  bool restoring = false;
 
   std::uint64_t acceptedTerm = 1;
   bool leads = false;
--- a/tests/standins/database/DatabaseMain.cpp
+++ b/tests/standins/database/DatabaseMain.cpp
@@ -16,6 +16,7 @@
 ABSL_FLAG(int, connection_limit, 20, "connections accepted at a time");
 ABSL_FLAG(double, connection_cost_ms, 10, "time to open a connection");
 ABSL_FLAG(double, statement_ms, 0.2, "time for which a statement holds its slot");
+ABSL_FLAG(std::string, state_file, "", "file that keeps the log across a kill and restart");
 ABSL_FLAG(std::string,
           initial_primary,
           "",
@@ -45,6 +46,7 @@
   options.connectionLimit = static_cast<std::uint32_t>(absl::GetFlag(FLAGS_connection_limit));
   options.connectionCost = Milliseconds(absl::GetFlag(FLAGS_connection_cost_ms));
   options.statementTime = Milliseconds(absl::GetFlag(FLAGS_statement_ms));
+  options.stateFile = absl::GetFlag(FLAGS_state_file);
   const auto server = DatabaseServer::Start(options);
   if (!server) {
     std::cerr << "standin_database: can't listen on " << options.listen << std::endl;
--- a/tests/standins/database/DatabaseOptions.h
+++ b/tests/standins/database/DatabaseOptions.h
@@ -28,6 +28,8 @@
   Duration connectionCost = Duration(0);
   /** Time for which a statement holds its slot. */
   Duration statementTime = Duration(200);
+  /** File that keeps log, terms and role across a kill and restart; empty for none. */
+  std::string stateFile;
 };
 
 } // namespace mustardshift::standin
--- a/tests/standins/database/DatabaseServer.h
+++ b/tests/standins/database/DatabaseServer.h
@@ -8,7 +8,7 @@
 namespace mustardshift::standin {
 
 /** One database server's stand-in, with its test control on the same address. It runs until it is
-    destroyed, and keeps everything in memory.
+    destroyed, and keeps everything in memory, or also in a state file.
 
     Statements: see ParseStatement. GET returns one row or none, SCAN rows of the form "key value",
     ADD the new number. Frames of one connection run in order, except WaitForPosition. */
--- a/tests/standins/database/Replicator.cpp
+++ b/tests/standins/database/Replicator.cpp
@@ -77,9 +77,10 @@
     channel = kept;
   }
   database::v1::DatabaseServer::NewStub(channel)->async()->Replicate(
-    &call->context, &call->pull.request, &call->response, [this, call](grpc::Status aStatus) {
-      this->Finish(call, aStatus.ok());
-    });
+    &call->context,
+    &call->pull.request,
+    &call->response,
+    [this, call](const grpc::Status& aStatus) { this->Finish(call, aStatus.ok()); });
 }
 
 void Replicator::Finish(const std::shared_ptr<Call>& aCall, bool aOk)
