--- a/tests/standins/database/DatabaseServer.cpp
+++ b/tests/standins/database/DatabaseServer.cpp
@@ -180,7 +180,7 @@
   std::string address;
 };
 
-std::unique_ptr<DatabaseServer> DatabaseServer::Start(DatabaseOptions aOptions)
+std::unique_ptr<DatabaseServer> DatabaseServer::Start(const DatabaseOptions& aOptions)
 {
   auto implementation = std::make_unique<Implementation>();
   implementation->address = aOptions.address.empty() ? aOptions.listen : aOptions.address;
--- a/tests/standins/database/DatabaseServer.h
+++ b/tests/standins/database/DatabaseServer.h
@@ -16,7 +16,7 @@
 {
 public:
   /** Returns nothing when the address can't be used. */
-  static std::unique_ptr<DatabaseServer> Start(DatabaseOptions aOptions);
+  static std::unique_ptr<DatabaseServer> Start(const DatabaseOptions& aOptions);
 
   ~DatabaseServer();
   DatabaseServer(const DatabaseServer&) = delete;
--- a/tests/standins/platform/PlatformServer.cpp
+++ b/tests/standins/platform/PlatformServer.cpp
@@ -412,7 +412,7 @@
   std::string address;
 };
 
-std::unique_ptr<PlatformServer> PlatformServer::Start(PlatformOptions aOptions)
+std::unique_ptr<PlatformServer> PlatformServer::Start(const PlatformOptions& aOptions)
 {
   auto implementation = std::make_unique<Implementation>(aOptions);
   int port = 0;
--- a/tests/standins/platform/PlatformServer.h
+++ b/tests/standins/platform/PlatformServer.h
@@ -13,7 +13,7 @@
 {
 public:
   /** Returns nothing when the address can't be used. */
-  static std::unique_ptr<PlatformServer> Start(PlatformOptions aOptions);
+  static std::unique_ptr<PlatformServer> Start(const PlatformOptions& aOptions);
 
   ~PlatformServer();
   PlatformServer(const PlatformServer&) = delete;
