--- a/packages/adapters/tests/DatabaseConnectionTest.cpp
+++ b/packages/adapters/tests/DatabaseConnectionTest.cpp
@@ -237,6 +237,7 @@
       auto connection = DatabaseConnection::Open(server.Address());
       CPPUNIT_ASSERT(Eventually([&] { return connection->IsOpened(); }));
       std::vector<std::future<Outcome<v1::Answer>>> requests;
+      requests.reserve(20);
       const std::uint64_t before = server.Counters().frames();
       for (int i = 0; i < 20; ++i) {
         requests.push_back(Start(*connection, ExecuteRequest(1, "GET a")));
@@ -259,6 +260,7 @@
     server.Lead(1);
     const auto connection = DatabaseConnection::Open(server.Address());
     std::vector<std::future<Outcome<v1::Answer>>> requests;
+    requests.reserve(50);
     for (int i = 1; i <= 50; ++i) {
       requests.push_back(Start(*connection, ExecuteRequest(1, "ADD a 1")));
     }
@@ -282,7 +284,7 @@
     };
     const auto open = [&](const std::shared_ptr<Calls>& aCalls) {
       DatabaseConnectionOptions options;
-      options.onOpened = [aCalls](Outcome<void> aOutcome) {
+      options.onOpened = [aCalls](const Outcome<void>& aOutcome) {
         ++(aOutcome ? aCalls->opened : aCalls->refused);
       };
       options.onClosed = [aCalls] { ++aCalls->closed; };
@@ -317,14 +319,16 @@
     auto connection =
       std::shared_ptr<DatabaseConnection>(DatabaseConnection::Open(server.Address()));
     std::promise<Outcome<v1::Answer>> last;
-    connection->Send(
-      ExecuteRequest(1, "PUT a 1"), kTimeout, [&, connection](Outcome<v1::Answer> /*aFirst*/) {
-        connection->Send(
-          ExecuteRequest(1, "GET a"), kTimeout, [&, connection](Outcome<v1::Answer> aSecond) {
-            connection->Close();
-            last.set_value(std::move(aSecond));
-          });
-      });
+    connection->Send(ExecuteRequest(1, "PUT a 1"),
+                     kTimeout,
+                     [&, connection](const Outcome<v1::Answer>& /*aFirst*/) {
+                       connection->Send(ExecuteRequest(1, "GET a"),
+                                        kTimeout,
+                                        [&, connection](Outcome<v1::Answer> aSecond) {
+                                          connection->Close();
+                                          last.set_value(std::move(aSecond));
+                                        });
+                     });
     const auto outcome = last.get_future().get();
     CPPUNIT_ASSERT(outcome);
     CPPUNIT_ASSERT_EQUAL(std::string("1"), outcome->rows(0));
--- a/packages/adapters/tests/DatabaseServerTest.cpp
+++ b/packages/adapters/tests/DatabaseServerTest.cpp
@@ -187,10 +187,12 @@
     ServerFixture server(options);
     server.Lead(1);
     std::vector<std::unique_ptr<DatabaseConnection>> connections;
+    connections.reserve(6);
     for (int i = 0; i < 6; ++i) {
       connections.push_back(DatabaseConnection::Open(server.Address()));
     }
     std::vector<std::future<Outcome<v1::Answer>>> requests;
+    requests.reserve(30);
     for (const auto& connection : connections) {
       for (int i = 0; i < 5; ++i) {
         requests.push_back(Start(*connection, ExecuteRequest(1, "ADD a 1")));
--- a/packages/adapters/tests/PlatformClientTest.cpp
+++ b/packages/adapters/tests/PlatformClientTest.cpp
@@ -168,6 +168,7 @@
     PlatformFixture platform(options);
     TableClient table(platform.server->Address());
     std::vector<std::future<bool>> commits;
+    commits.reserve(30);
     for (int i = 0; i < 30; ++i) {
       commits.push_back(std::async(std::launch::async, [&table, i] {
         return table.Commit({}, { { "row/" + std::to_string(i), "x" } }, kTimeout).has_value();
