Wire metrics, health, TLS and the member table into the daemon

Cause: the daemon served no metrics, health page or TLS, kept a second notion of reachable peers beside MemberTable, and PostAndWait could return while its task still used the caller's stack. Change: MonitoringServer, ReloadingCertificates and MemberTable are used; the platform's list of VMs is read; the two structs named ListedVm in one namespace have different names; PostAndWait ends only when its task ran or never will.

--- a/packages/core/membership/ListedVm.h
+++ b/packages/core/membership/ListedMember.h
@@ -7,14 +7,14 @@
 namespace mustardshift {
 
 /** A VM as the platform's list of VMs names it. The list lags behind. */
-struct ListedVm
+struct ListedMember
 {
   VmId vm;
   /** Where the VM's peers reach it, "IP:port"; may be empty. */
   std::string peerAddress;
   bool isLeaving = false;
 
-  friend bool operator==(const ListedVm&, const ListedVm&) = default;
+  friend bool operator==(const ListedMember&, const ListedMember&) = default;
 };
 
 } // namespace mustardshift
--- a/packages/core/membership/MemberTable.cpp
+++ b/packages/core/membership/MemberTable.cpp
@@ -26,14 +26,14 @@
   });
 }
 
-void MemberTable::ListRead(Instant aSent, const std::vector<ListedVm>& aList)
+void MemberTable::ListRead(Instant aSent, const std::vector<ListedMember>& aList)
 {
   if (aSent <= this->listSent) {
     return;
   }
   this->listSent = aSent;
   this->listed.clear();
-  for (const ListedVm& vm : aList) {
+  for (const ListedMember& vm : aList) {
     this->listed.emplace(vm.vm, vm);
   }
 }
--- a/packages/core/membership/MemberTable.h
+++ b/packages/core/membership/MemberTable.h
@@ -2,7 +2,7 @@
 
 #include "core/base/Instant.h"
 #include "core/base/Names.h"
-#include "core/membership/ListedVm.h"
+#include "core/membership/ListedMember.h"
 #include "core/membership/Member.h"
 #include "core/membership/MemberRow.h"
 
@@ -32,7 +32,7 @@
   void RowsRead(Instant aSent, const std::vector<MemberRow>& aRows);
 
   /** Takes over the platform's list of VMs, with the same rule. */
-  void ListRead(Instant aSent, const std::vector<ListedVm>& aList);
+  void ListRead(Instant aSent, const std::vector<ListedMember>& aList);
 
   /** A peer answered a ping that was sent at aPingSent.
 
@@ -75,7 +75,7 @@
   VmId self;
   FailureDomainName failureDomain;
   std::map<VmId, MemberRow> rows;
-  std::map<VmId, ListedVm> listed;
+  std::map<VmId, ListedMember> listed;
   Instant rowsSent = Instant::min();
   Instant listSent = Instant::min();
   std::map<VmId, Pong> pongs;
--- a/packages/daemon/Daemon.cpp
+++ b/packages/daemon/Daemon.cpp
@@ -21,6 +21,7 @@
 constexpr Duration kEntitlementInterval = std::chrono::seconds(1);
 constexpr Duration kDatabasePollInterval = std::chrono::seconds(1);
 constexpr Duration kRegistrationPollInterval = std::chrono::seconds(2);
+constexpr Duration kVmListInterval = std::chrono::seconds(10);
 constexpr Duration kShardPollInterval = std::chrono::seconds(1);
 /** Connections are kept only if the entitlement lasts for this long, the longest request. */
 constexpr Duration kEntitlementLookahead = std::chrono::seconds(60);
@@ -43,12 +44,14 @@
 Daemon::Daemon(DaemonSettings aSettings)
   : settings(std::move(aSettings))
   , incarnation(MakeIncarnation())
+  , health(this->settings.vm)
   , requestLoop(kRequestRing)
   , platformLoop(kControlRing)
   , failoverTableLoop(kControlRing)
   , table(this->settings.platformAddress, this->settings.vm.Text())
   , failoverTable(this->settings.platformAddress, this->settings.vm.Text())
   , objects(this->settings.platformAddress, this->settings.vm.Text())
+  , directory(this->settings.platformAddress, this->settings.vm.Text())
   , trust(this->settings.vm)
   , gate{ this->trust, false, "" }
   , quota(this->settings.vm, this->incarnation)
@@ -57,7 +60,11 @@
               this->settings.failureDomain,
               this->gate,
               this->quota,
-              [](const OrganisationName&, const Outcome<CallerAnswer>&, Duration) {})
+              [this](const OrganisationName& aOrganisation,
+                     const Outcome<CallerAnswer>& aAnswer,
+                     Duration aElapsed) {
+                this->ObserveRequest(aOrganisation, aAnswer, aElapsed);
+              })
   , transactions(this->requestLoop, this->processor, this->settings.tunables.transactionTimeout)
   , peers(this->settings.vm,
           this->incarnation,
@@ -111,9 +118,16 @@
                       Instant aAnswered,
                       const std::vector<RegistrationRow>& aRows,
                       const std::map<VmId, VmRow>& aVms) {
-    this->requestLoop.Post([this, aSent, aAnswered, aRows, aVms](Instant /*aNow*/) {
+    this->requestLoop.Post([this, aSent, aAnswered, aRows, aVms](Instant aNow) {
       this->trust.RegistrationsRead(aSent, aAnswered, aRows);
       this->OnRegistrations(aVms);
+      std::vector<MemberRow> members;
+      members.reserve(aRows.size());
+      for (const RegistrationRow& row : aRows) {
+        const VmRow& vm = aVms.at(row.vm.vm);
+        members.push_back({ row, vm.peerAddress, vm.failureDomain });
+      }
+      this->peers.RegistrationsRead(aSent, aNow, members);
     });
   };
   return hooks;
@@ -191,7 +205,8 @@
     [this](Instant aNow, const DatabaseName& aDatabase, const GroupPrimary& aPrimary) {
       this->processor.SetPrimary(aNow, aDatabase, aPrimary);
     };
-  hooks.promoted = [](const DatabaseName& aDatabase, Duration aGap) {
+  hooks.promoted = [this](const DatabaseName& aDatabase, Duration aGap) {
+    this->metrics.ObservePromotion(aDatabase, aGap);
     const auto gap = std::chrono::duration_cast<std::chrono::milliseconds>(aGap);
     kLog.Info("The promotion for " + aDatabase.Text() + " took " + std::to_string(gap.count()) +
               " ms from the suspicion.");
@@ -218,8 +233,8 @@
   }
   this->peerNode = std::move(*node);
   this->peers.Use(*this->peerNode);
-  this->OnRegistrations({});
-  const tl::expected<void, std::string> servers = this->StartServers();
+  this->peers.ListRead(Instant::min(), SystemBootClock{}.Now(), this->ListMembers({}));
+  tl::expected<void, std::string> servers = this->StartServers();
   if (!servers) {
     return servers;
   }
@@ -232,12 +247,31 @@
   return {};
 }
 
+std::shared_ptr<grpc::ServerCredentials> Daemon::MakeCredentials(ClientCertificates aClients) const
+{
+  return this->certificates ? this->certificates->ServerCredentials(aClients)
+                            : grpc::InsecureServerCredentials();
+}
+
 tl::expected<void, std::string> Daemon::StartServers()
 {
+  if (this->settings.tls) {
+    auto opened = ReloadingCertificates::Open(*this->settings.tls);
+    if (!opened) {
+      return tl::unexpected(opened.error());
+    }
+    this->certificates = std::move(*opened);
+  }
+  auto monitor =
+    MonitoringServer::Start(this->settings.metricsAddress, this->metrics, this->health);
+  if (!monitor) {
+    return tl::unexpected(monitor.error());
+  }
+  this->monitoring.emplace(std::move(*monitor));
   int callerPort = 0;
   grpc::ServerBuilder callers;
   callers.AddListeningPort(
-    this->settings.callerAddress, grpc::InsecureServerCredentials(), &callerPort);
+    this->settings.callerAddress, this->MakeCredentials(ClientCertificates::NotRequested), &callerPort);
   callers.RegisterService(&this->callerService);
   this->callerServer = callers.BuildAndStart();
   if (!this->callerServer || callerPort == 0) {
@@ -246,7 +280,7 @@
   int operatorPort = 0;
   grpc::ServerBuilder operators;
   operators.AddListeningPort(
-    this->settings.operatorAddress, grpc::InsecureServerCredentials(), &operatorPort);
+    this->settings.operatorAddress, this->MakeCredentials(ClientCertificates::Required), &operatorPort);
   operators.RegisterService(&this->operatorService);
   this->operatorServer = operators.BuildAndStart();
   if (!this->operatorServer || operatorPort == 0) {
@@ -277,6 +311,7 @@
     this->requestLoop, kLoanInterval, [this](Instant aNow) { this->peers.RequestLoans(aNow); });
   this->Every(this->requestLoop, kEntitlementInterval, [this](Instant aNow) {
     this->ApplyEntitlements(aNow);
+    this->UpdateMonitoring(aNow);
   });
   this->Every(this->platformLoop,
               this->settings.tunables.configurationPollInterval,
@@ -289,6 +324,9 @@
   this->Every(this->platformLoop, kShardPollInterval, [this](Instant /*aNow*/) {
     this->PollShards(this->isDraining);
   });
+  this->Every(this->platformLoop, kVmListInterval, [this](Instant /*aNow*/) {
+    this->PollVmList();
+  });
   this->platformLoop.TryPost([this](Instant /*aNow*/) {
     this->PollRegistrations();
     this->PollConfiguration();
@@ -297,6 +335,44 @@
   });
 }
 
+void Daemon::ObserveRequest(const OrganisationName& aOrganisation,
+                            const Outcome<CallerAnswer>& aAnswer,
+                            Duration aElapsed)
+{
+  const Verdict verdict = aAnswer ? Verdict::Run : aAnswer.error().verdict;
+  this->metrics.ObserveRequest(aOrganisation, verdict, aElapsed);
+  if (!aAnswer) {
+    this->metrics.CountRefusal(aAnswer.error().reason);
+  }
+}
+
+void Daemon::UpdateMonitoring(Instant aNow)
+{
+  const bool isTrusted = this->trust.IsTrusted(aNow);
+  const Configuration& present = this->processor.Present();
+  this->metrics.SetConfigurationVersion(present.version);
+  this->metrics.SetConfigurationTrusted(isTrusted);
+  this->metrics.SetPlatformReachable(this->trust.Report(aNow).reachesPlatform);
+  this->metrics.SetDraining(this->isDraining);
+  this->metrics.SetHeldShards(this->heldShards ? this->heldShards->HeldShards(aNow).size() : 0);
+  bool hasDatabase = present.databases.empty();
+  for (const auto& [name, dispatcher] : this->processor.Dispatchers()) {
+    this->metrics.SetTerm(name, dispatcher->Primary().term);
+    for (const ServerStatus& server : dispatcher->Servers(aNow)) {
+      this->metrics.SetConnections(server.address, server.connections);
+      this->metrics.SetQueueLength(server.address, server.queued);
+      this->metrics.SetPrimary(server.address, server.isPrimary);
+      hasDatabase = hasDatabase || server.isReachable;
+    }
+  }
+  this->health.Set(HealthReason::Starting, present.version == 0);
+  this->health.Set(HealthReason::Draining, this->isDraining);
+  this->health.Set(HealthReason::FailureDomainDrained,
+                   present.drainedFailureDomains.contains(this->settings.failureDomain));
+  this->health.Set(HealthReason::ConfigurationUntrusted, !isTrusted);
+  this->health.Set(HealthReason::NoDatabase, !hasDatabase);
+}
+
 void Daemon::ProbeServers(Instant aNow)
 {
   for (const auto& [name, dispatcher] : this->processor.Dispatchers()) {
@@ -372,6 +448,7 @@
     const std::vector<HeldQuotaShard> held = aHolder.HeldShards(aNow);
     this->quota.SetShards(aNow, held);
     std::vector<std::uint32_t> numbers;
+    numbers.reserve(held.size());
     for (const HeldQuotaShard& shard : held) {
       numbers.push_back(shard.shard.index);
     }
@@ -401,6 +478,8 @@
 {
   this->requestLoop.PostAndWait([this, aConfiguration](Instant aNow) {
     this->processor.Configure(aNow, aConfiguration);
+    this->metrics.Retain(*aConfiguration);
+    this->peers.SetDrainedFailureDomains(aConfiguration->drainedFailureDomains);
     this->failover.Configure(aNow, *aConfiguration);
     this->ApplyEntitlements(aNow);
     this->trust.SetVersion(aConfiguration->version);
@@ -410,22 +489,44 @@
 void Daemon::OnRegistrations(const std::map<VmId, VmRow>& aVms)
 {
   this->registeredVms = aVms;
-  std::map<VmId, PeerAddress> addresses;
-  for (const PeerSettings& peer : this->settings.peers) {
-    addresses[peer.vm] = { peer.vm, peer.address };
-  }
   this->gate.alternativeAddress.clear();
   for (const auto& [vm, row] : aVms) {
-    addresses[vm] = { vm, row.peerAddress };
     if (vm != this->settings.vm && row.failureDomain != this->settings.failureDomain) {
       this->gate.alternativeAddress = row.callerAddress;
     }
   }
-  std::vector<PeerAddress> peerAddresses;
-  for (const auto& [vm, address] : addresses) {
-    peerAddresses.push_back(address);
+}
+
+std::vector<ListedMember> Daemon::ListMembers(const std::vector<ListedVm>& aListed) const
+{
+  std::vector<ListedMember> members;
+  members.reserve(this->settings.peers.size());
+  for (const PeerSettings& peer : this->settings.peers) {
+    members.push_back({ peer.vm, peer.address, false });
   }
-  this->peers.SetPeers(peerAddresses);
+  // The platform's list knows addresses, and registrations say whose they are.
+  for (const ListedVm& listed : aListed) {
+    for (const auto& [vm, row] : this->registeredVms) {
+      if (listed.leaving && listed.address == row.callerAddress) {
+        std::erase_if(members,
+                      [&id = vm](const ListedMember& aMember) { return aMember.vm == id; });
+        members.push_back({ vm, row.peerAddress, true });
+      }
+    }
+  }
+  return members;
+}
+
+void Daemon::PollVmList()
+{
+  const Instant sent = SystemBootClock{}.Now();
+  const auto listed = this->directory.List(kTableTimeout);
+  if (!listed) {
+    return;
+  }
+  this->requestLoop.Post([this, sent, vms = *listed](Instant aNow) {
+    this->peers.ListRead(sent, aNow, this->ListMembers(vms));
+  });
 }
 
 void Daemon::BeginDrain()
@@ -436,6 +537,7 @@
   Log(Component::Drain).Info("This VM takes no new work.");
   this->requestLoop.PostAndWait([this](Instant aNow) {
     this->gate.isDraining = true;
+    this->health.Set(HealthReason::Draining, true);
     this->peers.SetDrainState(PeerDrainState::Draining);
     this->peers.Ping(aNow);
   });
--- a/packages/daemon/Daemon.h
+++ b/packages/daemon/Daemon.h
@@ -1,9 +1,14 @@
 #pragma once
 
+#include "adapters/health/HealthPage.h"
+#include "adapters/health/MonitoringServer.h"
+#include "adapters/metrics/MetricsRegistry.h"
 #include "adapters/peer/PeerNode.h"
 #include "adapters/platform/ObjectStoreClient.h"
 #include "adapters/platform/TableClient.h"
+#include "adapters/platform/VmDirectoryClient.h"
 #include "adapters/settings/DaemonSettings.h"
+#include "adapters/tls/ReloadingCertificates.h"
 #include "core/base/Outcome.h"
 #include "core/configuration/ConfigurationTrust.h"
 #include "core/rate/OrganisationQuotaTable.h"
@@ -23,6 +28,7 @@
 #include <grpcpp/server.h>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -60,7 +66,12 @@
   FailoverDriver::Hooks MakeFailoverHooks();
 
   tl::expected<void, std::string> StartServers();
+  std::shared_ptr<grpc::ServerCredentials> MakeCredentials(ClientCertificates aClients) const;
   void StartTimers();
+  void ObserveRequest(const OrganisationName& aOrganisation,
+                      const Outcome<CallerAnswer>& aAnswer,
+                      Duration aElapsed);
+  void UpdateMonitoring(Instant aNow);
   void ProbeServers(Instant aNow);
   void Every(EventLoop& aLoop, Duration aInterval, std::function<void(Instant)> aTask);
   void PollConfiguration();
@@ -71,18 +82,23 @@
   void ApplyEntitlements(Instant aNow);
   void OnConfiguration(const std::shared_ptr<const Configuration>& aConfiguration);
   void OnRegistrations(const std::map<VmId, VmRow>& aVms);
+  void PollVmList();
+  std::vector<ListedMember> ListMembers(const std::vector<ListedVm>& aListed) const;
   void NotePlatform(bool aAnswered);
   void BeginDrain();
   bool IsIdle();
 
   DaemonSettings settings;
   std::uint64_t incarnation;
+  MetricsRegistry metrics;
+  HealthPage health;
   EventLoop requestLoop;
   EventLoop platformLoop;
   EventLoop failoverTableLoop;
   TableClient table;
   TableClient failoverTable;
   ObjectStoreClient objects;
+  VmDirectoryClient directory;
 
   // Owned by the request loop.
   ConfigurationTrust trust;
@@ -108,6 +124,8 @@
   OperatorService operatorService;
   std::unique_ptr<grpc::Server> callerServer;
   std::unique_ptr<grpc::Server> operatorServer;
+  std::unique_ptr<ReloadingCertificates> certificates;
+  std::optional<MonitoringServer> monitoring;
   std::atomic<bool> isDraining{ false };
   bool isRunning = false;
 };
--- a/packages/daemon/loop/EventLoop.cpp
+++ b/packages/daemon/loop/EventLoop.cpp
@@ -40,6 +40,7 @@
   }
   while (this->ring.PopFor(Duration{ 0 })) {
   }
+  this->hasStopped = true;
 }
 
 bool EventLoop::TryPost(Task aTask)
@@ -55,7 +56,7 @@
   if (this->stopping) {
     return;
   }
-  if (std::this_thread::get_id() == this->thread.get_id()) {
+  if (std::this_thread::get_id() == this->loopThread) {
     this->deferred.push_back(std::move(aTask));
     return;
   }
@@ -70,12 +71,19 @@
     aTask(aNow);
     done->set_value();
   });
-  while (!this->stopping) {
-    if (finished.wait_for(kLongestWait) == std::future_status::ready) {
-      return true;
+  // The task may refer to the caller's stack, so the wait ends only when the task ran or never will.
+  while (finished.wait_for(kLongestWait) != std::future_status::ready) {
+    if (this->hasStopped) {
+      return false;
     }
   }
-  return finished.wait_for(std::chrono::seconds(0)) == std::future_status::ready;
+  try {
+    finished.get();
+    return true;
+  } catch (const std::future_error&) {
+    // The task was dropped.
+    return false;
+  }
 }
 
 EventLoop::TimerId EventLoop::Schedule(Instant aDue, Task aTask)
@@ -112,6 +120,7 @@
 
 void EventLoop::Run()
 {
+  this->loopThread = std::this_thread::get_id();
   while (!this->stopping) {
     const Instant now = SystemBootClock{}.Now();
     this->FireTimers(now);
--- a/packages/daemon/loop/EventLoop.h
+++ b/packages/daemon/loop/EventLoop.h
@@ -67,6 +67,9 @@
   std::map<TimerId, Task> timers;
   std::uint64_t nextTimer = 0;
   std::atomic<bool> stopping{ false };
+  /** Set once no task will run any more. */
+  std::atomic<bool> hasStopped{ false };
+  std::atomic<std::thread::id> loopThread;
   std::thread thread;
 };
 
--- a/packages/daemon/peer/PeerExchange.cpp
+++ b/packages/daemon/peer/PeerExchange.cpp
@@ -7,8 +7,6 @@
 
 namespace {
 
-/** A peer counts as reachable for this long after a pong: three pings. */
-constexpr Duration kReachableFor = std::chrono::seconds(3);
 /** Sent messages are forgotten after this time; later answers are ignored. */
 constexpr Duration kAnswerWindow = std::chrono::seconds(10);
 /** The list of registrations is repeated this often even if it is unchanged, since links may lose
@@ -29,19 +27,47 @@
   , trust(aTrust)
   , quota(aQuota)
   , hooks(std::move(aHooks))
+  , members(this->self, this->failureDomain)
 {
 }
 
-void PeerExchange::SetPeers(const std::vector<PeerAddress>& aPeers)
+void PeerExchange::RegistrationsRead(Instant aSent,
+                                     Instant aNow,
+                                     const std::vector<MemberRow>& aRows)
 {
+  this->members.RowsRead(aSent, aRows);
+  this->RefreshPeers(aNow);
+}
+
+void PeerExchange::ListRead(Instant aSent, Instant aNow, const std::vector<ListedMember>& aList)
+{
+  this->members.ListRead(aSent, aList);
+  this->RefreshPeers(aNow);
+}
+
+void PeerExchange::SetDrainedFailureDomains(std::set<FailureDomainName> aFailureDomains)
+{
+  this->members.SetDrainedFailureDomains(std::move(aFailureDomains));
+}
+
+void PeerExchange::SetDrainState(PeerDrainState aState)
+{
+  this->drainState = aState;
+  this->members.SetSelfDrained(aState != PeerDrainState::Serving);
+}
+
+void PeerExchange::RefreshPeers(Instant aNow)
+{
+  std::vector<PeerAddress> addresses;
   this->peers.clear();
-  for (const PeerAddress& peer : aPeers) {
-    if (peer.id != this->self) {
-      this->peers.push_back(peer);
+  for (const Member& member : this->members.Others(aNow)) {
+    if (!member.peerAddress.empty()) {
+      addresses.push_back({ member.vm, member.peerAddress });
+      this->peers.push_back(member.vm);
     }
   }
   if (this->node != nullptr) {
-    this->node->SetPeers(this->peers);
+    this->node->SetPeers(addresses);
   }
 }
 
@@ -79,8 +105,8 @@
   if (this->node == nullptr) {
     return;
   }
-  for (const PeerAddress& peer : this->peers) {
-    this->node->Send(peer.id, aMake());
+  for (const VmId& peer : this->peers) {
+    this->node->Send(peer, aMake());
   }
 }
 
@@ -94,13 +120,14 @@
   while (!this->queriedTerms.empty() && !this->sentAt.contains(this->queriedTerms.begin()->first)) {
     this->queriedTerms.erase(this->queriedTerms.begin());
   }
-  for (const PeerAddress& peer : this->peers) {
+  this->RefreshPeers(aNow);
+  for (const VmId& peer : this->peers) {
     mustardshift::Ping ping{ this->MakeHeader(), {} };
     ping.state.configurationVersion = this->trust.Version();
     ping.state.platformReachable = true;
     ping.state.drainState = this->drainState;
     this->sentAt[ping.header.messageId] = aNow;
-    this->node->Send(peer.id, ping);
+    this->node->Send(peer, ping);
   }
   std::vector<VmId> reachable = this->Reachable(aNow);
   if (reachable != this->lastReachable) {
@@ -150,8 +177,9 @@
     peer.knownVms.clear();
     peer.incarnation = aMessage.header.incarnation;
   }
-  peer.lastPong = aNow;
   peer.state = aMessage.state;
+  this->members.PongReceived(
+    pingSent, aPeer, aMessage.state.drainState != PeerDrainState::Serving);
   if (aMessage.state.knownVms) {
     peer.knownVms = { aMessage.state.knownVms->begin(), aMessage.state.knownVms->end() };
   }
@@ -236,7 +264,7 @@
 void PeerExchange::PushChange(std::uint64_t aVersion, const std::string& aEncodedChange)
 {
   // A change too large for a message is fetched from the platform.
-  constexpr std::size_t kLargestPushedChange = 32 * 1024;
+  constexpr std::size_t kLargestPushedChange = std::size_t{ 32 } * 1024;
   const std::string content =
     aEncodedChange.size() <= kLargestPushedChange ? aEncodedChange : std::string();
   this->Broadcast([&] { return ConfigurationPush{ this->MakeHeader(), aVersion, content }; });
@@ -257,26 +285,11 @@
   });
 }
 
-std::vector<VmId> PeerExchange::Reachable(Instant aNow) const
-{
-  std::vector<VmId> reachable;
-  for (const PeerAddress& peer : this->peers) {
-    const auto state = this->states.find(peer.id);
-    if (state != this->states.end() && state->second.lastPong != Instant{} &&
-        state->second.lastPong + kReachableFor > aNow) {
-      reachable.push_back(peer.id);
-    }
-  }
-  return reachable;
-}
-
 std::vector<VmId> PeerExchange::Serving(Instant aNow) const
 {
-  std::vector<VmId> serving = this->Reachable(aNow);
-  std::erase_if(serving, [&](const VmId& aPeer) {
-    return this->states.at(aPeer).state.drainState != PeerDrainState::Serving;
-  });
-  return serving;
+  std::set<VmId> live = this->members.LiveMembers(aNow);
+  live.erase(this->self);
+  return { live.begin(), live.end() };
 }
 
 std::uint64_t PeerExchange::VersionOf(const VmId& aPeer) const
--- a/packages/daemon/peer/PeerExchange.h
+++ b/packages/daemon/peer/PeerExchange.h
@@ -3,6 +3,7 @@
 #include "adapters/peer/PeerNode.h"
 #include "core/base/Instant.h"
 #include "core/configuration/ConfigurationTrust.h"
+#include "core/membership/MemberTable.h"
 #include "core/rate/OrganisationQuotaTable.h"
 #include "protocol/peer/KnownPrimary.h"
 #include "protocol/peer/PeerMessage.h"
@@ -59,8 +60,14 @@
   /** Starts to use a node. Precondition: the node outlives the exchange's use. */
   void Use(PeerNode& aNode) { this->node = &aNode; }
 
-  /** Sets the peers of the cell. */
-  void SetPeers(const std::vector<PeerAddress>& aPeers);
+  /** Takes over the registrations, as read by a request sent at aSent. */
+  void RegistrationsRead(Instant aSent, Instant aNow, const std::vector<MemberRow>& aRows);
+
+  /** Takes over the list of VMs that may exist, as read by a request sent at aSent. */
+  void ListRead(Instant aSent, Instant aNow, const std::vector<ListedMember>& aList);
+
+  /** Sets the failure domains that operators took out of service. */
+  void SetDrainedFailureDomains(std::set<FailureDomainName> aFailureDomains);
 
   /** Pings all peers; call it once a second. */
   void Ping(Instant aNow);
@@ -77,21 +84,19 @@
   /** Asks all peers whether they suspect a primary. */
   void QuerySuspicion(Instant aNow, const KnownPrimary& aSuspected);
 
-  void SetDrainState(PeerDrainState aState) { this->drainState = aState; }
+  void SetDrainState(PeerDrainState aState);
   void SetHeldShards(std::vector<std::uint32_t> aShards) { this->heldShards = std::move(aShards); }
 
   /** Peers that answered a ping lately. */
-  std::vector<VmId> Reachable(Instant aNow) const;
+  std::vector<VmId> Reachable(Instant aNow) const { return this->members.ReachablePeers(aNow); }
   /** Reachable peers that take new work. */
   std::vector<VmId> Serving(Instant aNow) const;
   /** Configuration version that a peer reported last. */
   std::uint64_t VersionOf(const VmId& aPeer) const;
-  const std::vector<PeerAddress>& Peers() const { return this->peers; }
 
 private:
   struct Peer
   {
-    Instant lastPong{};
     PeerState state;
     std::uint64_t incarnation = 0;
     std::set<VmIncarnation> knownVms;
@@ -100,6 +105,7 @@
     unsigned pongsSinceVmsSent = 0;
   };
 
+  void RefreshPeers(Instant aNow);
   PeerHeader MakeHeader(std::uint64_t aAnswers = 0);
   PeerState MakeState(Instant aNow, const VmId& aPeer);
   void Broadcast(const std::function<PeerMessage()>& aMake);
@@ -119,7 +125,9 @@
   OrganisationQuotaTable& quota;
   Hooks hooks;
   PeerNode* node = nullptr;
-  std::vector<PeerAddress> peers;
+  MemberTable members;
+  /** Members at the time of the last ping. */
+  std::vector<VmId> peers;
   std::map<VmId, Peer> states;
   std::vector<VmId> lastReachable;
   std::uint64_t lastMessageId = 0;
--- a/packages/daemon/request/DatabaseDispatcher.cpp
+++ b/packages/daemon/request/DatabaseDispatcher.cpp
@@ -23,6 +23,8 @@
 constexpr Duration kConfirmWait = std::chrono::seconds(2);
 /** A report that takes longer counts as a failed probe. */
 constexpr Duration kProbeTimeout = std::chrono::milliseconds(400);
+/** A server counts as reachable for this long after an answer. */
+constexpr Duration kReachableFor = std::chrono::seconds(3);
 /** Time for an answer to travel, on top of the wait that a request asks for. */
 constexpr Duration kAnswerAllowance = std::chrono::seconds(1);
 
@@ -492,6 +494,21 @@
   return count;
 }
 
+std::vector<ServerStatus> DatabaseDispatcher::Servers(Instant aNow) const
+{
+  std::vector<ServerStatus> statuses;
+  for (const auto& [address, server] : this->servers) {
+    const bool isPrimary = address == this->primary.server;
+    const std::size_t queued = server.queue.size() + (isPrimary ? this->primaryQueue.size() : 0);
+    statuses.push_back({ address,
+                         server.pool->OpenConnections(),
+                         queued,
+                         isPrimary,
+                         server.view.observedAt + kReachableFor > aNow });
+  }
+  return statuses;
+}
+
 unsigned DatabaseDispatcher::MostConnections() const
 {
   unsigned count = 0;
--- a/packages/daemon/request/DatabaseDispatcher.h
+++ b/packages/daemon/request/DatabaseDispatcher.h
@@ -11,6 +11,7 @@
 #include "daemon/request/Operation.h"
 #include "daemon/request/PlannedRead.h"
 #include "daemon/request/ServerPool.h"
+#include "daemon/request/ServerStatus.h"
 
 #include <functional>
 #include <map>
@@ -19,6 +20,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace mustardshift {
 
@@ -111,6 +113,8 @@
   const GroupPrimary& Primary() const { return this->primary; }
   bool IsInService() const { return this->group.inService; }
   std::size_t QueuedOperations() const;
+  /** What is known of each server, for monitoring. */
+  std::vector<ServerStatus> Servers(Instant aNow) const;
   /** Connections to the server that has the most. */
   unsigned MostConnections() const;
 
--- a/packages/daemon/request/RequestProcessor.cpp
+++ b/packages/daemon/request/RequestProcessor.cpp
@@ -173,7 +173,7 @@
 
 void RequestProcessor::Admit(Instant aNow,
                              const AuthenticatedRequest& aRequest,
-                             std::function<void(Instant, Outcome<void>)> aCallback)
+                             const std::function<void(Instant, Outcome<void>)>& aCallback)
 {
   if (aRequest.organisation.IsEmpty()) {
     aCallback(aNow, {});
--- a/packages/daemon/request/RequestProcessor.h
+++ b/packages/daemon/request/RequestProcessor.h
@@ -59,7 +59,7 @@
   /** Takes a token of the request's organisation, waiting for it if need be. */
   void Admit(Instant aNow,
              const AuthenticatedRequest& aRequest,
-             std::function<void(Instant, Outcome<void>)> aCallback);
+             const std::function<void(Instant, Outcome<void>)>& aCallback);
 
   /** Adds what a statement has seen to its session, and encodes the token. */
   std::string EncodeToken(SessionToken aToken) const
