Replace primaries in a failure domain that is out of service

Cause: after failure-domain out, writes still went to a primary in that domain. Change: FailoverDecision takes the drained servers and replaces a drained primary by the highest position among the others, once these are a majority in the primary's term; no suspicion and no question to peers is needed. Without the exclusion of drained servers from the choice the test fails, since the drained primary has the highest position.

--- a/packages/core/failover/FailoverDecision.cpp
+++ b/packages/core/failover/FailoverDecision.cpp
@@ -68,6 +68,11 @@
   this->Learn(aEvent.term, aEvent.primary);
 }
 
+void FailoverDecision::On(const failover_event::ServersDrained& aEvent)
+{
+  this->drained = aEvent.servers;
+}
+
 void FailoverDecision::On(const failover_event::PlatformStateChanged& aEvent)
 {
   // A VM that was paused may be told of an answer from before the pause.
@@ -171,7 +176,7 @@
   const Cause present = this->FindCause();
   if (present == Cause::NotPromoted) {
     this->StartPromoting();
-  } else if (present == Cause::FencedOnly ||
+  } else if (present == Cause::FencedOnly || present == Cause::Drained ||
              (present == Cause::Suspicion && this->cause == Cause::Suspicion)) {
     this->StartFencing(aEvent.row);
   } else {
@@ -385,9 +390,11 @@
   const std::vector<ServerAddress> pool = this->ChoicePool();
   const bool isWaitOver =
     this->unanswered.empty() || this->now >= *this->fencedMajorityAt + this->options.chooseGrace;
-  const bool includesSuspected =
-    this->suspected && std::find(pool.begin(), pool.end(), this->knownPrimary) != pool.end();
-  if (includesSuspected && !isWaitOver) {
+  const bool includesUnwanted =
+    std::any_of(pool.begin(), pool.end(), [this](const ServerAddress& aServer) {
+      return this->IsUnwanted(aServer);
+    });
+  if (includesUnwanted && !isWaitOver) {
     return;
   }
   const auto isWorse = [this](const ServerAddress& aLeft, const ServerAddress& aRight) {
@@ -405,17 +412,16 @@
 
 std::vector<ServerAddress> FailoverDecision::ChoicePool() const
 {
-  std::vector<ServerAddress> pool;
+  std::vector<ServerAddress> all;
+  std::vector<ServerAddress> wanted;
   for (const auto& [server, report] : this->fenced) {
-    if (!this->suspected || server != this->knownPrimary) {
-      pool.push_back(server);
+    all.push_back(server);
+    if (!this->IsUnwanted(server)) {
+      wanted.push_back(server);
     }
   }
-  // Without the suspected primary the others have to be a majority of their own.
-  if (pool.size() < MajorityOf(this->options.servers.size()) && pool.size() < this->fenced.size()) {
-    pool.push_back(this->knownPrimary);
-  }
-  return pool;
+  // Without the unwanted servers the others have to be a majority of their own.
+  return wanted.size() < MajorityOf(this->options.servers.size()) ? all : wanted;
 }
 
 void FailoverDecision::StartRecording()
@@ -542,7 +548,30 @@
   if (this->IsPromotionMissing()) {
     return Cause::NotPromoted;
   }
-  return this->suspected ? Cause::Suspicion : Cause::None;
+  if (this->suspected) {
+    return Cause::Suspicion;
+  }
+  return this->CanReplaceDrainedPrimary() ? Cause::Drained : Cause::None;
+}
+
+bool FailoverDecision::IsUnwanted(const ServerAddress& aServer) const
+{
+  return (this->suspected && aServer == this->knownPrimary) || this->drained.contains(aServer);
+}
+
+bool FailoverDecision::CanReplaceDrainedPrimary() const
+{
+  if (!this->drained.contains(this->knownPrimary)) {
+    return false;
+  }
+  const auto isReady = [this](const auto& aSeen) {
+    const ServerReport& report = aSeen.second.report;
+    return !this->drained.contains(aSeen.first) && this->IsFresh(aSeen.second) &&
+           report.acceptedTerm == this->knownTerm &&
+           (report.position.term == this->knownTerm || report.position.offset == 0);
+  };
+  const auto ready = std::count_if(this->seen.begin(), this->seen.end(), isReady);
+  return static_cast<std::size_t>(ready) >= MajorityOf(this->options.servers.size());
 }
 
 bool FailoverDecision::IsFresh(const SeenReport& aSeen) const
@@ -572,7 +601,8 @@
 
 Duration FailoverDecision::TurnDelay(Cause aCause)
 {
-  const Duration base = aCause == Cause::Suspicion ? Duration{ 0 } : this->options.finishDelay;
+  const bool isUnfinished = aCause == Cause::FencedOnly || aCause == Cause::NotPromoted;
+  const Duration base = isUnfinished ? this->options.finishDelay : Duration{ 0 };
   const unsigned place = std::min(this->rank, this->options.rankLimit);
   const Duration jitter = this->rank > this->options.rankLimit ? this->options.backoffMaximum
                                                                : this->options.rankStep / 4;
--- a/packages/core/failover/FailoverDecision.h
+++ b/packages/core/failover/FailoverDecision.h
@@ -65,6 +65,8 @@
     FencedOnly,
     /** The recorded primary answers, but does not lead. */
     NotPromoted,
+    /** The primary is out of service, and the others can do without it. */
+    Drained,
   };
 
   struct SeenReport
@@ -85,6 +87,7 @@
   void On(const failover_event::SuspicionChanged& aEvent);
   void On(const failover_event::PeerAnswered& aEvent);
   void On(const failover_event::PrimaryLearned& aEvent);
+  void On(const failover_event::ServersDrained& aEvent);
   void On(const failover_event::PlatformStateChanged& aEvent);
   void On(const failover_event::ServerReported& aEvent);
   void On(const failover_event::AcceptTermAnswered& aEvent);
@@ -122,6 +125,8 @@
   Cause FindCause() const;
   bool IsFresh(const SeenReport& aSeen) const;
   bool IsPromotionMissing() const;
+  bool CanReplaceDrainedPrimary() const;
+  bool IsUnwanted(const ServerAddress& aServer) const;
   std::uint64_t HighestAcceptedTerm() const;
   std::vector<ServerAddress> ChoicePool() const;
   Duration TurnDelay(Cause aCause);
@@ -141,6 +146,7 @@
   std::uint64_t knownTerm = 0;
   ServerAddress knownPrimary;
   bool suspected = false;
+  std::set<ServerAddress> drained;
   bool platformReachable = true;
   std::map<ServerAddress, SeenReport> seen;
 
--- a/packages/core/failover/FailoverEvent.h
+++ b/packages/core/failover/FailoverEvent.h
@@ -6,6 +6,7 @@
 #include "core/failover/ServerReport.h"
 
 #include <cstdint>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -47,6 +48,12 @@
   ServerAddress primary;
 };
 
+/** The servers that operators took out of service, with their failure domain. A primary among them
+    is replaced, as soon as the others are a majority without them. */
+struct ServersDrained
+{
+  std::set<ServerAddress> servers;
+};
 /** Whether the platform answers, and when it last did. */
 struct PlatformStateChanged
 {
@@ -129,6 +136,7 @@
                                    failover_event::SuspicionChanged,
                                    failover_event::PeerAnswered,
                                    failover_event::PrimaryLearned,
+                                   failover_event::ServersDrained,
                                    failover_event::PlatformStateChanged,
                                    failover_event::ServerReported,
                                    failover_event::AcceptTermAnswered,
--- a/packages/core/tests/FailoverDecisionTest.cpp
+++ b/packages/core/tests/FailoverDecisionTest.cpp
@@ -131,6 +131,7 @@
   CPPUNIT_TEST(AsksPeersAboutASuspicionThatComesUpLate);
   CPPUNIT_TEST(RecordsTheFirstPrimary);
   CPPUNIT_TEST(IgnoresAnswersOfOtherAttempts);
+  CPPUNIT_TEST(ReplacesADrainedPrimary);
   CPPUNIT_TEST(RanksVmsAlikeEverywhere);
   CPPUNIT_TEST_SUITE_END();
 
@@ -324,6 +325,41 @@
     });
   }
 
+  /** Guards against a failure domain out of service whose primaries go on to take writes, and
+      against a switch that loses what only the drained primary and one replica hold. */
+  void ReplacesADrainedPrimary()
+  {
+    Driver driver;
+    driver.Give(MembersChanged{ { VmId("vm-2"), VmId("vm-3") } });
+    driver.AnswerRead(Driver::kRow);
+    const auto report = [&](std::uint64_t aThirdTerm) {
+      driver.Give(ServerReported{ kFirst, { 1, { 1, 9 }, true } });
+      driver.Give(ServerReported{ kSecond, { 1, { 1, 8 }, false } });
+      driver.Give(ServerReported{ kThird, { aThirdTerm, { aThirdTerm, 9 }, false } });
+    };
+    Section("nothing happens while the others are no majority in the primary's term", [&] {
+      report(0);
+      driver.Give(ServersDrained{ { kFirst } });
+      driver.Wait(1000);
+      CPPUNIT_ASSERT(!driver.Take<ReadRow>().has_value());
+    });
+    Section("the primary is replaced without asking peers", [&] {
+      report(1);
+      driver.Wait(1000);
+      driver.AnswerRead(Driver::kRow);
+      CPPUNIT_ASSERT(driver.decision.Phase() == FailoverPhase::Fencing);
+    });
+    Section("the drained primary answers first, but the highest of the others is chosen", [&] {
+      driver.Give(AcceptTermAnswered{ kFirst, 2, true, { 2, { 1, 12 }, false } });
+      driver.Give(AcceptTermAnswered{ kSecond, 2, true, { 2, { 1, 8 }, false } });
+      CPPUNIT_ASSERT(!driver.Take<CompareAndSetRow>().has_value());
+      driver.Give(AcceptTermAnswered{ kThird, 2, true, { 2, { 1, 9 }, false } });
+      const auto write = driver.Take<CompareAndSetRow>();
+      CPPUNIT_ASSERT(write.has_value());
+      CPPUNIT_ASSERT(write->row.primary == kThird);
+    });
+  }
+
   void RanksVmsAlikeEverywhere()
   {
     constexpr std::size_t kVms = 12;
--- a/packages/daemon/failover/FailoverDriver.cpp
+++ b/packages/daemon/failover/FailoverDriver.cpp
@@ -54,28 +54,39 @@
 void FailoverDriver::Configure(Instant aNow, const Configuration& aConfiguration)
 {
   for (const DatabaseGroup& configured : aConfiguration.databases) {
-    if (this->groups.contains(configured.name)) {
-      continue;
+    if (!this->groups.contains(configured.name)) {
+      this->Add(aNow, configured);
     }
-    FailoverOptions options;
-    options.database = configured.name;
-    options.self = this->identity.vm;
-    options.failureDomain = this->identity.failureDomain;
-    options.incarnation = this->identity.incarnation;
-    Group group;
+    std::set<ServerAddress> drained;
     for (const DatabaseServer& server : configured.servers) {
-      options.servers.push_back(server.address);
-      group.clients.emplace(
-        server.address,
-        std::make_shared<DatabaseServerClient>(server.address, this->identity.vm.Text()));
+      if (aConfiguration.drainedFailureDomains.contains(server.failureDomain)) {
+        drained.insert(server.address);
+      }
     }
-    const std::size_t seed =
-      std::hash<std::string>{}(this->identity.vm.Text() + configured.name.Text());
-    group.decision = std::make_unique<FailoverDecision>(
-      std::move(options), std::mt19937_64(seed ^ this->identity.incarnation));
-    this->groups.emplace(configured.name, std::move(group));
-    this->Handle(aNow, configured.name, failover_event::MembersChanged{ this->members });
+    this->Handle(aNow, configured.name, failover_event::ServersDrained{ drained });
+  }
+}
+
+void FailoverDriver::Add(Instant aNow, const DatabaseGroup& aConfigured)
+{
+  FailoverOptions options;
+  options.database = aConfigured.name;
+  options.self = this->identity.vm;
+  options.failureDomain = this->identity.failureDomain;
+  options.incarnation = this->identity.incarnation;
+  Group group;
+  for (const DatabaseServer& server : aConfigured.servers) {
+    options.servers.push_back(server.address);
+    group.clients.emplace(
+      server.address,
+      std::make_shared<DatabaseServerClient>(server.address, this->identity.vm.Text()));
   }
+  const std::size_t seed =
+    std::hash<std::string>{}(this->identity.vm.Text() + aConfigured.name.Text());
+  group.decision = std::make_unique<FailoverDecision>(
+    std::move(options), std::mt19937_64(seed ^ this->identity.incarnation));
+  this->groups.emplace(aConfigured.name, std::move(group));
+  this->Handle(aNow, aConfigured.name, failover_event::MembersChanged{ this->members });
 }
 
 void FailoverDriver::Handle(Instant aNow,
--- a/packages/daemon/failover/FailoverDriver.h
+++ b/packages/daemon/failover/FailoverDriver.h
@@ -86,6 +86,7 @@
     Instant suspectedSince{};
   };
 
+  void Add(Instant aNow, const DatabaseGroup& aConfigured);
   void Handle(Instant aNow, const DatabaseName& aDatabase, const FailoverEvent& aEvent);
   void Do(Instant aNow, const DatabaseName& aDatabase, const failover_action::QueryPeers& aAction);
   void Do(Instant aNow, const DatabaseName& aDatabase, const failover_action::ReadRow& aAction);
