--- a/packages/core/configuration/ConfigurationTrust.h
+++ b/packages/core/configuration/ConfigurationTrust.h
@@ -76,7 +76,8 @@
   /** Whether key-protected routes may be served at aNow. Ask at each use. */
   bool IsTrusted(Instant aNow) const;
 
-  /** Whether an operator's change may be sent to the platform at aNow. */
+  /** Whether an operator's change may be sent to the platform at aNow. Not while the platform is
+      silent: a change without an answer would end the trust of all VMs for the whole outage. */
   bool MayAcceptChanges(Instant aNow);
 
   /** Registrations of other VMs that have lapsed: their rows haven't changed for a lease with
@@ -120,6 +121,7 @@
   void Confirm(std::uint64_t aVersion, Instant aAt);
   void HearVersion(std::uint64_t aVersion);
   void AdoptList();
+  bool ReachesPlatform(Instant aNow) const;
   bool IsRegistered(Instant aNow) const;
   bool IsTotalOutage(Instant aNow) const;
 
@@ -135,6 +137,7 @@
   std::optional<Instant> registeredUntil;
   /** When the answer to the present registration, not its renewals, arrived. */
   Instant registeredAt{};
+  /** Whether a list read since then was adopted. */
   bool hasListSinceRegistration = false;
   bool isAcceptor = false;
   /** Other VMs that may accept changes, and when each was first learned of. */
--- a/packages/daemon/loop/EventLoop.h
+++ b/packages/daemon/loop/EventLoop.h
@@ -16,7 +16,8 @@
 
 /** Runs tasks one after another on a thread of its own, with timers. State that only tasks of one
     loop touch needs no locks. */
-class EventLoop {
+class EventLoop
+{
 public:
   /** A unit of work; it gets the present time. */
   using Task = std::function<void(Instant)>;
@@ -66,6 +67,9 @@
   std::map<TimerId, Task> timers;
   std::uint64_t nextTimer = 0;
   std::atomic<bool> stopping{ false };
+  /** Set once no task will run any more. */
+  std::atomic<bool> hasStopped{ false };
+  std::atomic<std::thread::id> loopThread;
   std::thread thread;
 };
 
