--- a/bench/emulator/ControlCost.cpp
+++ b/bench/emulator/ControlCost.cpp
@@ -68,8 +68,8 @@
       FailoverOptions failover;
       failover.database = DatabaseName("database-" + std::to_string(index));
       for (std::size_t server = 0; server < kServers; ++server) {
-        failover.servers.push_back(
-          ServerAddress("10.20." + std::to_string(server) + "." + std::to_string(index) + ":5400"));
+        failover.servers.emplace_back("10.20." + std::to_string(server) + "." +
+                                      std::to_string(index) + ":5400");
       }
       failover.self = VmIdOf(0);
       failover.failureDomain = FailureDomainName("kigali-1");
@@ -90,7 +90,8 @@
         { OrganisationName("organisation-" + std::to_string(index)), 100, 200, 1, {} });
     }
     this->quotas.Configure(this->now, organisations);
-    this->quotas.SetShards(this->now, { { QuotaShardId{ 0 }, Instant::max() } });
+    this->quotas.SetShards(this->now,
+                           { { QuotaShardId{ 0 }, this->now + std::chrono::hours(24) } });
     this->names = std::move(organisations);
   }
 
--- a/bench/emulator/FairnessEmulation.cpp
+++ b/bench/emulator/FairnessEmulation.cpp
@@ -55,7 +55,8 @@
       }
       for (std::size_t shard = index; shard < kQuotaShardsPerCell; shard += this->options.vms) {
         const QuotaShardId id{ static_cast<std::uint8_t>(shard) };
-        shards.push_back({ id, Instant::max() });
+        // Far ahead, but not so far that spans up to it overflow.
+        shards.push_back({ id, this->queue.Now() + std::chrono::hours(24) });
         vm.connections += ConnectionsOfShard(id, this->deployment.connectionLimit);
       }
       vm.quotas->SetShards(this->queue.Now(), std::move(shards));
