--- a/bench/load/LoadRun.cpp
+++ b/bench/load/LoadRun.cpp
@@ -368,6 +368,7 @@
     return;
   }
   std::vector<std::string> found;
+  found.reserve(rows.size());
   for (const std::string& row : rows) {
     found.push_back(row.substr(0, row.find(' ')));
   }
