Probe primaries from three VMs, and from the others only when asked

Change: three VMs in different failure domains watch a database; an answered request replaces a probe; a VM that does not watch asks the primary when a peer asks whether it finds it out of reach. The message for a conflict also covers a row that exists already.

--- a/packages/core/base/VerdictTable.cpp
+++ b/packages/core/base/VerdictTable.cpp
@@ -111,7 +111,7 @@
           "......n..", "the server refused the statement"),
   // The caller decides whether its statements still make sense after a concurrent transaction.
   MakeRow(Fault::Conflict, kAll, kPermanent, Reason::TransactionConflict,
-          "......n..", "a concurrent transaction won"),
+          "......n..", "it conflicts with present data or a concurrent transaction"),
   MakeRow(Fault::AnswerLost, kAll, kTransient, Reason::AnswerLost,
           "......m..", "the server's answer is lost"),
   // A read at the primary, too, waits until its position is on a majority.
--- a/packages/daemon/Daemon.cpp
+++ b/packages/daemon/Daemon.cpp
@@ -16,6 +16,10 @@
 constexpr std::size_t kRequestRing = 65536;
 constexpr std::size_t kControlRing = 4096;
 constexpr Duration kTickInterval = std::chrono::milliseconds(100);
+/** Every how many probe intervals all servers of a database are asked, on the VMs that watch it
+    and on the others. */
+constexpr unsigned kMonitorFullProbe = 5;
+constexpr unsigned kFullProbe = 25;
 constexpr Duration kPingInterval = std::chrono::seconds(1);
 constexpr Duration kLoanInterval = std::chrono::milliseconds(250);
 constexpr Duration kEntitlementInterval = std::chrono::seconds(1);
@@ -62,9 +66,7 @@
               this->quota,
               [this](const OrganisationName& aOrganisation,
                      const Outcome<CallerAnswer>& aAnswer,
-                     Duration aElapsed) {
-                this->ObserveRequest(aOrganisation, aAnswer, aElapsed);
-              })
+                     Duration aElapsed) { this->ObserveRequest(aOrganisation, aAnswer, aElapsed); })
   , transactions(this->requestLoop, this->processor, this->settings.tunables.transactionTimeout)
   , peers(this->settings.vm,
           this->incarnation,
@@ -180,8 +182,9 @@
   hooks.versionHeard = [this] {
     this->platformLoop.TryPost([this](Instant /*aNow*/) { this->PollConfiguration(); });
   };
-  hooks.suspects = [this](const KnownPrimary& aSuspected) {
-    return this->failover.Suspects(aSuspected);
+  hooks.checkSuspicion = [this](const KnownPrimary& aSuspected,
+                                const std::function<void(Instant, bool)>& aCallback) {
+    this->failover.CheckSuspicion(aSuspected, aCallback);
   };
   hooks.suspicionAnswered = [this](Instant aNow,
                                    const VmId& aPeer,
@@ -270,8 +273,9 @@
   this->monitoring.emplace(std::move(*monitor));
   int callerPort = 0;
   grpc::ServerBuilder callers;
-  callers.AddListeningPort(
-    this->settings.callerAddress, this->MakeCredentials(ClientCertificates::NotRequested), &callerPort);
+  callers.AddListeningPort(this->settings.callerAddress,
+                           this->MakeCredentials(ClientCertificates::NotRequested),
+                           &callerPort);
   callers.RegisterService(&this->callerService);
   this->callerServer = callers.BuildAndStart();
   if (!this->callerServer || callerPort == 0) {
@@ -279,8 +283,9 @@
   }
   int operatorPort = 0;
   grpc::ServerBuilder operators;
-  operators.AddListeningPort(
-    this->settings.operatorAddress, this->MakeCredentials(ClientCertificates::Required), &operatorPort);
+  operators.AddListeningPort(this->settings.operatorAddress,
+                             this->MakeCredentials(ClientCertificates::Required),
+                             &operatorPort);
   operators.RegisterService(&this->operatorService);
   this->operatorServer = operators.BuildAndStart();
   if (!this->operatorServer || operatorPort == 0) {
@@ -324,9 +329,8 @@
   this->Every(this->platformLoop, kShardPollInterval, [this](Instant /*aNow*/) {
     this->PollShards(this->isDraining);
   });
-  this->Every(this->platformLoop, kVmListInterval, [this](Instant /*aNow*/) {
-    this->PollVmList();
-  });
+  this->Every(
+    this->platformLoop, kVmListInterval, [this](Instant /*aNow*/) { this->PollVmList(); });
   this->platformLoop.TryPost([this](Instant /*aNow*/) {
     this->PollRegistrations();
     this->PollConfiguration();
@@ -375,16 +379,34 @@
 
 void Daemon::ProbeServers(Instant aNow)
 {
+  const Duration interval = this->settings.tunables.probeInterval;
+  const unsigned round = this->probeRound++;
   for (const auto& [name, dispatcher] : this->processor.Dispatchers()) {
-    dispatcher->Probe(aNow,
-                      [this, database = name](Instant aLater,
-                                              const ServerAddress& aServer,
-                                              const Outcome<database::v1::ServerReport>& aReport) {
-                        this->failover.ObserveProbe(aLater, database, aServer, aReport);
-                      });
+    const GroupPrimary primary = dispatcher->Primary();
+    const bool isMonitor = primary.term == 0 || this->failover.IsMonitor(name);
+    if (round % (isMonitor ? kMonitorFullProbe : kFullProbe) == 0) {
+      this->Probe(aNow, name, ProbeScope::AllServers);
+    } else if (dispatcher->PrimaryAnsweredAt() + interval > aNow) {
+      // Requests that were answered lately make a probe unnecessary.
+      this->failover.ObserveAnswer(aNow, name, primary);
+    } else if (isMonitor) {
+      this->Probe(aNow, name, ProbeScope::PrimaryOnly);
+    }
   }
 }
 
+void Daemon::Probe(Instant aNow, const DatabaseName& aDatabase, ProbeScope aScope)
+{
+  this->processor.FindDispatcher(aDatabase)->Probe(
+    aNow,
+    aScope,
+    [this, aDatabase](Instant aLater,
+                      const ServerAddress& aServer,
+                      const Outcome<database::v1::ServerReport>& aReport) {
+      this->failover.ObserveProbe(aLater, aDatabase, aServer, aReport);
+    });
+}
+
 void Daemon::NotePlatform(bool aAnswered)
 {
   const Instant answered = SystemBootClock{}.Now();
--- a/packages/daemon/Daemon.h
+++ b/packages/daemon/Daemon.h
@@ -73,6 +73,7 @@
                       Duration aElapsed);
   void UpdateMonitoring(Instant aNow);
   void ProbeServers(Instant aNow);
+  void Probe(Instant aNow, const DatabaseName& aDatabase, ProbeScope aScope);
   void Every(EventLoop& aLoop, Duration aInterval, std::function<void(Instant)> aTask);
   void PollConfiguration();
   void PollDatabases();
@@ -111,6 +112,7 @@
   /** Copy of the platform loop's leases, to see them lapse while the platform is out of reach. */
   std::optional<QuotaShardHolder> heldShards;
   bool connectionsAreWithinEntitlement = true;
+  unsigned probeRound = 0;
   std::map<VmId, VmRow> registeredVms;
 
   // Owned by the platform loop.
--- a/packages/daemon/failover/FailoverDriver.cpp
+++ b/packages/daemon/failover/FailoverDriver.cpp
@@ -1,6 +1,7 @@
 #include "daemon/failover/FailoverDriver.h"
 
 #include "adapters/log/Log.h"
+#include "core/failover/VmRank.h"
 #include "daemon/control/PlatformRows.h"
 #include "daemon/request/DatabaseFrames.h"
 
@@ -13,6 +14,13 @@
 namespace {
 
 constexpr Duration kServerCallTimeout = std::chrono::milliseconds(500);
+/** VMs that watch one database closely. The others learn of a promotion from them, and check a
+    primary only when asked: a node that serves 11 databases would otherwise send 165 probes a
+    second. The three are in different failure domains, so that the loss of the primary's own
+    domain leaves two of them. */
+constexpr unsigned kMonitors = 3;
+/** Leaves time for the answer within the 300 ms that a question to peers waits. */
+constexpr Duration kSuspicionCheckTimeout = std::chrono::milliseconds(200);
 constexpr Duration kTableTimeout = std::chrono::milliseconds(900);
 
 const Log kLog(Component::Failover);
@@ -192,10 +200,50 @@
   }
 }
 
-bool FailoverDriver::Suspects(const KnownPrimary& aSuspected) const
+void FailoverDriver::ObserveAnswer(Instant aNow,
+                                   const DatabaseName& aDatabase,
+                                   const GroupPrimary& aPrimary)
+{
+  this->tracker.RecordResponse(aDatabase, aPrimary.term, aPrimary.server, aNow);
+}
+
+bool FailoverDriver::IsMonitor(const DatabaseName& aDatabase) const
+{
+  std::vector<VmId> neighbours;
+  std::set<VmId> otherDomains;
+  for (const VmId& member : this->members) {
+    const FailureDomainName domain = this->peers.FailureDomainOf(member);
+    if (domain == this->identity.failureDomain) {
+      neighbours.push_back(member);
+    } else {
+      otherDomains.emplace(domain.Text());
+    }
+  }
+  const VmId ownDomain(this->identity.failureDomain.Text());
+  return RankOf(aDatabase, this->identity.vm, neighbours) == 0 &&
+         RankOf(aDatabase, ownDomain, { otherDomains.begin(), otherDomains.end() }) < kMonitors;
+}
+
+void FailoverDriver::CheckSuspicion(const KnownPrimary& aSuspected,
+                                    const std::function<void(Instant, bool)>& aCallback)
 {
   const auto group = this->groups.find(aSuspected.database);
-  return group != this->groups.end() && group->second.decision->Suspects(aSuspected.term);
+  const bool isKnown = group != this->groups.end() &&
+                       group->second.decision->KnownTerm() == aSuspected.term &&
+                       group->second.decision->KnownPrimary() == aSuspected.primary;
+  DatabaseServerClient* client = this->FindClient(aSuspected.database, aSuspected.primary);
+  const bool suspects = isKnown && group->second.decision->Suspects(aSuspected.term);
+  if (!isKnown || suspects || client == nullptr) {
+    this->loop.Post([aCallback, suspects](Instant aNow) { aCallback(aNow, suspects); });
+    return;
+  }
+  client->Report(kSuspicionCheckTimeout,
+                 [&eventLoop = this->loop, aCallback, aSuspected](
+                   const Outcome<database::v1::ServerReport>& aReport) {
+                   const bool leads =
+                     aReport && aReport->leads() && aReport->accepted_term() == aSuspected.term;
+                   eventLoop.Post([aCallback, leads](Instant aNow) { aCallback(aNow, !leads); });
+                 });
 }
 
 std::vector<KnownPrimary> FailoverDriver::KnownPrimaries() const
--- a/packages/daemon/failover/FailoverDriver.h
+++ b/packages/daemon/failover/FailoverDriver.h
@@ -71,8 +71,16 @@
   /** Call it at least every 100 ms. */
   void Tick(Instant aNow);
 
-  /** Whether this VM suspects the primary of a term. */
-  bool Suspects(const KnownPrimary& aSuspected) const;
+  /** Takes the news that a request to the primary of a term was answered. */
+  void ObserveAnswer(Instant aNow, const DatabaseName& aDatabase, const GroupPrimary& aPrimary);
+
+  /** Whether this VM is one of those that watch the database's primary closely. */
+  bool IsMonitor(const DatabaseName& aDatabase) const;
+
+  /** Answers a peer's question whether this VM finds a primary out of reach: at once when it
+      watches the database, else after asking the primary. aCallback runs on the request loop. */
+  void CheckSuspicion(const KnownPrimary& aSuspected,
+                      const std::function<void(Instant, bool)>& aCallback);
 
   /** The recorded primaries that this VM knows. */
   std::vector<KnownPrimary> KnownPrimaries() const;
--- a/packages/daemon/loop/EventLoop.cpp
+++ b/packages/daemon/loop/EventLoop.cpp
@@ -71,7 +71,8 @@
     aTask(aNow);
     done->set_value();
   });
-  // The task may refer to the caller's stack, so the wait ends only when the task ran or never will.
+  // The task may refer to the caller's stack, so the wait ends only when the task ran or never
+  // will.
   while (finished.wait_for(kLongestWait) != std::future_status::ready) {
     if (this->hasStopped) {
       return false;
--- a/packages/daemon/peer/PeerExchange.cpp
+++ b/packages/daemon/peer/PeerExchange.cpp
@@ -178,8 +178,7 @@
     peer.incarnation = aMessage.header.incarnation;
   }
   peer.state = aMessage.state;
-  this->members.PongReceived(
-    pingSent, aPeer, aMessage.state.drainState != PeerDrainState::Serving);
+  this->members.PongReceived(pingSent, aPeer, aMessage.state.drainState != PeerDrainState::Serving);
   if (aMessage.state.knownVms) {
     peer.knownVms = { aMessage.state.knownVms->begin(), aMessage.state.knownVms->end() };
   }
@@ -200,14 +199,27 @@
 }
 
 void PeerExchange::On(Instant /*aNow*/, const VmId& aPeer, const SuspicionQuery& aMessage)
+{
+  this->hooks.checkSuspicion(
+    aMessage.suspected,
+    [this, aPeer, query = aMessage.header.messageId, suspected = aMessage.suspected](
+      Instant /*aLater*/, bool aSuspects) {
+      this->AnswerSuspicion(aPeer, query, suspected, aSuspects);
+    });
+}
+
+void PeerExchange::AnswerSuspicion(const VmId& aPeer,
+                                   std::uint64_t aQuery,
+                                   const KnownPrimary& aSuspected,
+                                   bool aSuspects)
 {
   SuspicionAnswer answer;
-  answer.header = this->MakeHeader(aMessage.header.messageId);
-  answer.suspects = this->hooks.suspects(aMessage.suspected);
+  answer.header = this->MakeHeader(aQuery);
+  answer.suspects = aSuspects;
   answer.failureDomain = this->failureDomain;
-  answer.known = aMessage.suspected;
+  answer.known = aSuspected;
   for (const KnownPrimary& primary : this->hooks.knownPrimaries()) {
-    if (primary.database == aMessage.suspected.database) {
+    if (primary.database == aSuspected.database) {
       answer.known = primary;
     }
   }
--- a/packages/daemon/peer/PeerExchange.h
+++ b/packages/daemon/peer/PeerExchange.h
@@ -34,8 +34,9 @@
     std::function<void(const std::string&)> changePushed;
     /** A peer has a higher configuration version. */
     std::function<void()> versionHeard;
-    /** A peer asks whether this VM suspects a primary. */
-    std::function<bool(const KnownPrimary&)> suspects;
+    /** A peer asks whether this VM finds a primary out of reach; the callback takes the answer. */
+    std::function<void(const KnownPrimary&, const std::function<void(Instant, bool)>&)>
+      checkSuspicion;
     /** A peer answered such a question about a term. */
     std::function<void(Instant,
                        const VmId&,
@@ -91,6 +92,11 @@
   std::vector<VmId> Reachable(Instant aNow) const { return this->members.ReachablePeers(aNow); }
   /** Reachable peers that take new work. */
   std::vector<VmId> Serving(Instant aNow) const;
+  /** A peer's failure domain; an empty name when it is not known. */
+  FailureDomainName FailureDomainOf(const VmId& aPeer) const
+  {
+    return this->members.FailureDomainOf(aPeer);
+  }
   /** Configuration version that a peer reported last. */
   std::uint64_t VersionOf(const VmId& aPeer) const;
 
@@ -106,6 +112,10 @@
   };
 
   void RefreshPeers(Instant aNow);
+  void AnswerSuspicion(const VmId& aPeer,
+                       std::uint64_t aQuery,
+                       const KnownPrimary& aSuspected,
+                       bool aSuspects);
   PeerHeader MakeHeader(std::uint64_t aAnswers = 0);
   PeerState MakeState(Instant aNow, const VmId& aPeer);
   void Broadcast(const std::function<PeerMessage()>& aMake);
--- a/packages/daemon/request/DatabaseDispatcher.cpp
+++ b/packages/daemon/request/DatabaseDispatcher.cpp
@@ -271,12 +271,15 @@
   }
 }
 
-void DatabaseDispatcher::Probe(Instant aNow, const ProbeCallback& aCallback)
+void DatabaseDispatcher::Probe(Instant aNow, ProbeScope aScope, const ProbeCallback& aCallback)
 {
   const auto round = std::make_shared<ProbeRound>();
   round->sentAt = aNow;
   round->primary = this->primary;
   for (const auto& [address, server] : this->servers) {
+    if (aScope == ProbeScope::PrimaryOnly && address != this->primary.server) {
+      continue;
+    }
     server.client->Report(
       kProbeTimeout,
       [weak = this->weak_from_this(), &eventLoop = this->loop, server = address, round, aCallback](
@@ -373,6 +376,10 @@
     return;
   }
   view.consecutiveFailures = 0;
+  if (aServer == this->primary.server && aAnswer->accepted_term() == this->primary.term &&
+      aAnswer->status() != database::v1::ANSWER_STATUS_WRONG_TERM) {
+    this->primaryAnsweredAt = std::max(this->primaryAnsweredAt, aSentAt);
+  }
   // A position of a term that the known history lacks is judged once a report brought the history.
   if (aSentAt >= view.observedAt && aAnswer->accepted_term() >= view.acceptedTerm) {
     view.observedAt = aSentAt;
--- a/packages/daemon/request/DatabaseDispatcher.h
+++ b/packages/daemon/request/DatabaseDispatcher.h
@@ -10,6 +10,7 @@
 #include "daemon/request/GroupPrimary.h"
 #include "daemon/request/Operation.h"
 #include "daemon/request/PlannedRead.h"
+#include "daemon/request/ProbeScope.h"
 #include "daemon/request/ServerPool.h"
 #include "daemon/request/ServerStatus.h"
 
@@ -68,9 +69,14 @@
   /** Queues work for one server. */
   void EnqueueAtServer(Instant aNow, const ServerAddress& aServer, Operation aOperation);
 
-  /** Asks each server for its report, to learn positions, histories and the primary's health.
+  /** Asks servers for their reports, to learn positions, histories and the primary's health.
+      @param aScope  which servers are asked.
       @param aCallback  called with each outcome, before the views change. */
-  void Probe(Instant aNow, const ProbeCallback& aCallback);
+  void Probe(Instant aNow, ProbeScope aScope, const ProbeCallback& aCallback);
+
+  /** When the present primary last answered a request under its term; the request's sending time.
+   */
+  Instant PrimaryAnsweredAt() const { return this->primaryAnsweredAt; }
 
   /** Decides where a read goes.
       @param aExcluded  servers that this read has already failed on. */
@@ -159,6 +165,7 @@
   std::string userAgent;
   FailureDomainName failureDomain;
   GroupPrimary primary;
+  Instant primaryAnsweredAt{};
   Queue primaryQueue;
   std::map<ServerAddress, Server> servers;
   std::map<OrganisationName, unsigned> weights;
