Answer not-run only once the new primary's term is on a majority

Cause: when a promotion came between a write and its answer, the request id was looked up at the new primary, and its absence was answered as not-run at once. If the new primary failed before an entry of its term had reached another server, a further promotion could choose the first primary again, whose log held the write. A found entry of an earlier term was confirmed at a position of a term that no server has there, so it was never confirmed, and the answer was may-have-run. An old primary that ignores higher terms could also answer the look-up. Change: both outcomes wait until the first entry of the primary's own term is on a majority; an answer counts only if its term is the one that was asked. The cost is one wait for a replica per lost answer after a promotion.

--- a/packages/daemon/request/DatabaseDispatcher.cpp
+++ b/packages/daemon/request/DatabaseDispatcher.cpp
@@ -463,6 +463,20 @@
     });
 }
 
+std::optional<LogPosition> DatabaseDispatcher::FirstPositionOfTerm() const
+{
+  const auto found = this->servers.find(this->primary.server);
+  if (found == this->servers.end()) {
+    return std::nullopt;
+  }
+  for (const TermStart& start : found->second.view.history.Starts()) {
+    if (start.term == this->primary.term) {
+      return LogPosition{ start.term, start.firstOffset };
+    }
+  }
+  return std::nullopt;
+}
+
 void DatabaseDispatcher::LookUpRequest(const RequestId& aRequest,
                                        Duration aTimeout,
                                        LookUpCallback aCallback)
--- a/packages/daemon/request/DatabaseDispatcher.h
+++ b/packages/daemon/request/DatabaseDispatcher.h
@@ -104,6 +104,11 @@
                        Instant aDeadline,
                        ConfirmCallback aCallback);
 
+  /** Returns the first position that the present primary wrote in its term, as its last report
+     shows it; nothing if no report has shown it yet. A majority that holds it holds everything that
+     the primary took over from earlier terms, and no later primary lacks it. */
+  std::optional<LogPosition> FirstPositionOfTerm() const;
+
   /** Asks the present primary's log for a request id. */
   void LookUpRequest(const RequestId& aRequest, Duration aTimeout, LookUpCallback aCallback);
 
--- a/packages/daemon/request/LostAnswerResolver.cpp
+++ b/packages/daemon/request/LostAnswerResolver.cpp
@@ -3,6 +3,7 @@
 #include "core/base/VerdictTable.h"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 namespace mustardshift {
@@ -33,16 +34,16 @@
 {
   if (aNow >= this->deadline) {
     this->callback(aNow,
-                   tl::unexpected<Refusal>(Resolve(
-                     RequestStep::AwaitAnswer, Fault::AnswerLost, { false, false, true })));
+                   tl::unexpected<Refusal>(
+                     Resolve(RequestStep::AwaitAnswer, Fault::AnswerLost, { false, false, true })));
     return;
   }
   this->dispatcher->LookUpRequest(
     this->request,
     std::min(kLookUpTimeout, this->deadline - aNow),
-    [self = this->shared_from_this()](
+    [self = this->shared_from_this(), askedTerm = this->dispatcher->Primary().term](
       Instant aLater, const Outcome<database::v1::LookUpRequestResponse>& aResponse) {
-      self->OnResponse(aLater, aResponse);
+      self->OnResponse(aLater, askedTerm, aResponse);
     });
 }
 
@@ -53,37 +54,43 @@
 }
 
 void LostAnswerResolver::OnResponse(Instant aNow,
+                                    std::uint64_t aAskedTerm,
                                     const Outcome<database::v1::LookUpRequestResponse>& aResponse)
 {
-  if (!aResponse || !aResponse->leads()) {
+  // A server that does not step down for a higher term may still lead in its own view.
+  if (!aResponse || !aResponse->leads() || aResponse->accepted_term() != aAskedTerm ||
+      aAskedTerm != this->dispatcher->Primary().term) {
     this->AskLater(aNow);
     return;
   }
-  if (!aResponse->found()) {
-    if (aResponse->accepted_term() > this->sentTerm) {
-      this->callback(
-        aNow,
-        RefuseNotRun(Reason::AnswerLost,
-                     "the connection was lost, and the new primary shows that nothing ran"));
+  FlowResult result;
+  result.position = { aResponse->position().term(), aResponse->position().offset() };
+  if (!aResponse->found() || result.position.term != aAskedTerm) {
+    // An entry of an earlier term, and its absence, are settled once an entry of the present term
+    // is on a majority. Until then a further promotion may choose a server with another log.
+    const std::optional<LogPosition> first = this->dispatcher->FirstPositionOfTerm();
+    if (!first || (!aResponse->found() && aAskedTerm <= this->sentTerm)) {
+      this->AskLater(aNow);
       return;
     }
-    this->AskLater(aNow);
-    return;
+    result.position = *first;
   }
-  FlowResult result;
   result.rows.assign(aResponse->rows().begin(), aResponse->rows().end());
-  // The entry may be of an earlier term. A majority that holds an entry of the present term holds
-  // everything before it, too.
-  result.position = { aResponse->accepted_term(), aResponse->position().offset() };
   this->dispatcher->ConfirmMajority(
     aNow,
     result.position,
     this->deadline,
-    [self = this->shared_from_this(), result](Instant aLater, const Outcome<void>& aConfirmed) {
-      if (aConfirmed) {
+    [self = this->shared_from_this(), result, isFound = aResponse->found()](
+      Instant aLater, const Outcome<void>& aConfirmed) {
+      if (!aConfirmed) {
+        self->AskLater(aLater);
+      } else if (isFound) {
         self->callback(aLater, result);
       } else {
-        self->AskLater(aLater);
+        self->callback(
+          aLater,
+          RefuseNotRun(Reason::AnswerLost,
+                       "the connection was lost, and the new primary shows that nothing ran"));
       }
     });
 }
--- a/packages/daemon/request/LostAnswerResolver.h
+++ b/packages/daemon/request/LostAnswerResolver.h
@@ -12,7 +12,8 @@
     request id. The write is never sent again.
 
     The outcome is the write's result once it is found and on a majority; NotRun when a primary of a
-    later term lacks it, since neither that log nor any later one can hold it any more; MayHaveRun
+    later term lacks it and an entry of that term is on a majority, since neither that log nor any
+    later one can hold it any more; MayHaveRun
     when neither is known by the deadline.
 
     Thread safety: the request loop's thread only. */
@@ -33,7 +34,9 @@
 private:
   void Ask(Instant aNow);
   void AskLater(Instant aNow);
-  void OnResponse(Instant aNow, const Outcome<database::v1::LookUpRequestResponse>& aResponse);
+  void OnResponse(Instant aNow,
+                  std::uint64_t aAskedTerm,
+                  const Outcome<database::v1::LookUpRequestResponse>& aResponse);
 
   EventLoop& loop;
   std::shared_ptr<DatabaseDispatcher> dispatcher;
