--- a/packages/daemon/request/DatabaseDispatcher.h
+++ b/packages/daemon/request/DatabaseDispatcher.h
@@ -10,6 +10,7 @@
 #include "daemon/request/GroupPrimary.h"
 #include "daemon/request/Operation.h"
 #include "daemon/request/PlannedRead.h"
+#include "daemon/request/ProbeScope.h"
 #include "daemon/request/ServerPool.h"
 #include "daemon/request/ServerStatus.h"
 
@@ -68,9 +69,14 @@
   /** Queues work for one server. */
   void EnqueueAtServer(Instant aNow, const ServerAddress& aServer, Operation aOperation);
 
-  /** Asks each server for its report, to learn positions, histories and the primary's health.
+  /** Asks servers for their reports, to learn positions, histories and the primary's health.
+      @param aScope  which servers are asked.
       @param aCallback  called with each outcome, before the views change. */
-  void Probe(Instant aNow, const ProbeCallback& aCallback);
+  void Probe(Instant aNow, ProbeScope aScope, const ProbeCallback& aCallback);
+
+  /** When the present primary last answered a request under its term; the request's sending time.
+   */
+  Instant PrimaryAnsweredAt() const { return this->primaryAnsweredAt; }
 
   /** Decides where a read goes.
       @param aExcluded  servers that this read has already failed on. */
@@ -106,6 +112,11 @@
                        Instant aDeadline,
                        ConfirmCallback aCallback);
 
+  /** Returns the first position that the present primary wrote in its term, as its last report
+     shows it; nothing if no report has shown it yet. A majority that holds it holds everything that
+     the primary took over from earlier terms, and no later primary lacks it. */
+  std::optional<LogPosition> FirstPositionOfTerm() const;
+
   /** Asks the present primary's log for a request id. */
   void LookUpRequest(const RequestId& aRequest, Duration aTimeout, LookUpCallback aCallback);
 
@@ -159,6 +170,7 @@
   std::string userAgent;
   FailureDomainName failureDomain;
   GroupPrimary primary;
+  Instant primaryAnsweredAt{};
   Queue primaryQueue;
   std::map<ServerAddress, Server> servers;
   std::map<OrganisationName, unsigned> weights;
