Move single tokens between VMs for requests that wait

Cause: a small burst divided among 9 VMs leaves each hardly more than one token, and demand that moves to another VM finds its quota only when loans end (5 s). Change: a VM whose requests wait asks peers for tokens; the lender's capacity stays reduced until they can't be used any more, so that the sum never exceeds the burst. Requests poll for tokens every 5 ms instead of 25.

--- a/bench/emulator/FairnessEmulation.cpp
+++ b/bench/emulator/FairnessEmulation.cpp
@@ -137,6 +137,7 @@
       this->Enqueue(aStatement);
       return;
     }
+    this->AskTokens(this->vms[aStatement.vm], this->NameOf(aStatement));
     this->queue.After(aOutcome->waitUntil - this->queue.Now(),
                       [this, aStatement, admission = *aOutcome] {
                         this->Judge(aStatement,
@@ -151,18 +152,39 @@
     for (const Vm& vm : this->vms) {
       peers.push_back(vm.id);
     }
-    const Instant sent = this->queue.Now();
     for (Vm& borrower : this->vms) {
-      for (const QuotaLoanRequest& request : borrower.quotas->PlanRequests(sent, peers)) {
-        this->queue.After(2 * this->deployment.domainLatency, [this, &borrower, request, sent] {
-          for (const Vm& lender : this->vms) {
-            if (lender.id == request.lender) {
-              const QuotaLoanGrant grant = lender.quotas->Lend(this->queue.Now(), request);
-              borrower.quotas->Borrow(this->queue.Now(), grant, sent);
+      this->Send(borrower, borrower.quotas->PlanRequests(this->queue.Now(), peers));
+    }
+  }
+
+  /** Asks for tokens for requests that wait, as the daemon does. */
+  void AskTokens(Vm& aBorrower, const OrganisationName& aOrganisation)
+  {
+    std::vector<VmId> peers;
+    for (const Vm& vm : this->vms) {
+      if (vm.id != aBorrower.id) {
+        peers.push_back(vm.id);
+      }
+    }
+    this->Send(aBorrower,
+               aBorrower.quotas->PlanTokenRequests(this->queue.Now(), aOrganisation, peers));
+  }
+
+  void Send(Vm& aBorrower, const std::vector<QuotaLoanRequest>& aRequests)
+  {
+    const Instant sent = this->queue.Now();
+    for (const QuotaLoanRequest& request : aRequests) {
+      this->queue.After(2 * this->deployment.domainLatency, [this, &aBorrower, request, sent] {
+        for (const Vm& lender : this->vms) {
+          if (lender.id == request.lender) {
+            const QuotaLoanGrant grant = lender.quotas->Lend(this->queue.Now(), request);
+            aBorrower.quotas->Borrow(this->queue.Now(), grant, sent);
+            if (grant.isTokensOnly) {
+              this->AskTokens(aBorrower, grant.organisation);
             }
           }
-        });
-      }
+        }
+      });
     }
   }
 
--- a/bench/emulator/QuotaEmulation.cpp
+++ b/bench/emulator/QuotaEmulation.cpp
@@ -249,8 +249,28 @@
         peers.push_back(vm->id);
       }
     }
+    this->Send(aVm, aVm->quotas->PlanRequests(this->Now(), peers));
+  }
+
+  /** Asks for tokens for requests that wait, as the daemon does. */
+  void AskTokens(const VmPointer& aVm, const OrganisationName& aOrganisation)
+  {
+    if (!aVm->isUp || !this->options.hasLoans) {
+      return;
+    }
+    std::vector<VmId> peers;
+    for (const VmPointer& vm : this->all) {
+      if (vm->isUp && vm != aVm) {
+        peers.push_back(vm->id);
+      }
+    }
+    this->Send(aVm, aVm->quotas->PlanTokenRequests(this->Now(), aOrganisation, peers));
+  }
+
+  void Send(const VmPointer& aVm, const std::vector<QuotaLoanRequest>& aRequests)
+  {
     const Instant sent = this->Now();
-    for (const QuotaLoanRequest& request : aVm->quotas->PlanRequests(sent, peers)) {
+    for (const QuotaLoanRequest& request : aRequests) {
       ++this->result.loanMessages;
       this->queue.After(this->PeerDelay(), [this, aVm, request, sent] {
         const VmPointer lender = this->Find(request.lender);
@@ -262,6 +282,9 @@
         this->queue.After(this->PeerDelay(), [this, aVm, grant, sent] {
           if (aVm->isUp) {
             aVm->quotas->Borrow(this->Now(), grant, sent);
+            if (grant.isTokensOnly) {
+              this->AskTokens(aVm, grant.organisation);
+            }
           }
         });
       });
@@ -375,6 +398,7 @@
       this->CountAdmitted(account);
       return;
     }
+    this->AskTokens(aVm, account.name);
     const Admission admission = *aOutcome;
     const Duration wait = admission.waitUntil - this->Now();
     this->queue.After(wait, [this, aOrganisation, aVm, admission, aIsWithinRate] {
--- a/packages/core/rate/OrganisationQuota.cpp
+++ b/packages/core/rate/OrganisationQuota.cpp
@@ -32,7 +32,7 @@
 constexpr Duration kShortestRefusalPause = milliseconds(200);
 constexpr Duration kLongestRefusalPause = milliseconds(4000);
 /** Waiting requests look for tokens at least this often, since a loan can bring some any time. */
-constexpr Duration kWaitStep = milliseconds(25);
+constexpr Duration kWaitStep = milliseconds(5);
 /** No wait is shorter, so that rounding can't make a caller spin. */
 constexpr Duration kShortestWait = milliseconds(1);
 /** A request that asks late at the end of its wait still keeps its place. */
@@ -43,6 +43,17 @@
 constexpr double kHeadroom = 1.05;
 /** A lender keeps one part in this many of its shards, for the first requests that reach it. */
 constexpr QuotaUnits kFloorDivisor = 20;
+/** How long tokens from a peer may be used: as long as requests wait. */
+constexpr Duration kTokenLifetime = kAdmissionWaitBound;
+/** Smaller amounts of tokens are not given. */
+constexpr double kSmallestGift = 0.1;
+/** Most tokens asked for at once, and peers asked at once. */
+constexpr double kMostTokensAsked = 16;
+constexpr std::size_t kPeersAskedForTokens = 2;
+/** Limits of the pause, doubled each time, before a peer that had no tokens is asked again. They
+    bound what an organisation far above its rate costs to 16 messages a second for each VM. */
+constexpr Duration kShortestTokensPause = milliseconds(10);
+constexpr Duration kLongestTokensPause = milliseconds(500);
 /** Demand below this, in requests per second, is none. */
 constexpr double kNoDemand = 0.05;
 
@@ -98,7 +109,7 @@
   this->demand.Ask(now);
   this->DropEndedWaits(now);
   const auto ahead = static_cast<double>(this->waiting.size());
-  if (this->bucket.Tokens() >= ahead + 1 && this->bucket.TryTake(now)) {
+  if (this->AvailableTokens() >= ahead + 1 && this->TryTakeToken(now)) {
     return Admission{ true, now, 0 };
   }
   if (this->burst < 1) {
@@ -107,7 +118,8 @@
   // Loans can raise this VM's rate up to the whole rate, but not higher.
   const double bestRate = this->unitsInForce < kQuotaUnitsTotal ? this->rate : this->bucket.Rate();
   const double boundSeconds = std::chrono::duration<double>(kAdmissionWaitBound).count();
-  if (ahead + 1 - this->bucket.Tokens() > bestRate * boundSeconds) {
+  // Peers may have the whole burst waiting.
+  if (ahead + 1 - this->AvailableTokens() > bestRate * boundSeconds + this->burst) {
     return RefuseRate();
   }
   const std::uint64_t ticket = this->firstTicket + this->waiting.size();
@@ -124,7 +136,7 @@
     return RefuseRate();
   }
   const auto ahead = static_cast<double>(aAdmission.ticket - this->firstTicket);
-  if (this->bucket.Tokens() >= ahead + 1 && this->bucket.TryTake(now)) {
+  if (this->AvailableTokens() >= ahead + 1 && this->TryTakeToken(now)) {
     waiter->isWaiting = false;
     return Admission{ true, now, aAdmission.ticket };
   }
@@ -162,6 +174,10 @@
     return grant;
   }
 
+  if (aRequest.units == 0 && aRequest.tokens > 0 && !aRequest.extends) {
+    return this->GiveTokens(now, aRequest, std::move(grant));
+  }
+
   // The loan, with drift, ends before any of this VM's leases does: from then on another VM may
   // hold the shard that backs it.
   const Duration untilLease = this->EarliestLease() - now;
@@ -192,7 +208,9 @@
 
   // A remainder too small to be asked for goes along.
   const QuotaUnits units = spare - aRequest.units < kLoanStep / 2 ? spare : aRequest.units;
-  if (units < kSmallestLoan) {
+  // The capacity that tokens given to peers take up can't be lent.
+  const bool coversGiven = this->CapacityOf(this->OwnUnits() - units) >= this->GivenTokens();
+  if (units < kSmallestLoan || !coversGiven) {
     return grant;
   }
   const auto number = this->loans.Lend(aRequest, units, returnsAt);
@@ -216,6 +234,9 @@
     return false;
   }
   const Instant now = this->Settle(aNow);
+  if (aGrant.isTokensOnly) {
+    return this->TakeTokens(now, aGrant, aRequestSent);
+  }
   if (!aGrant.isExtension) {
     PeerState& peer = this->peers[aGrant.loan.lender];
     if (aGrant.units > 0) {
@@ -248,7 +269,8 @@
                          this->incarnation,
                          ++this->lastRequest,
                          aUnits,
-                         std::move(aLoan) });
+                         std::move(aLoan),
+                         0 });
   };
 
   const QuotaUnits needed = this->NeededUnits(now);
@@ -294,6 +316,106 @@
   return requests;
 }
 
+QuotaLoanGrant OrganisationQuota::GiveTokens(Instant aNow,
+                                             const QuotaLoanRequest& aRequest,
+                                             QuotaLoanGrant aGrant)
+{
+  aGrant.isTokensOnly = true;
+  // Beyond the earliest lease another VM may hold the shard, with its part of the burst.
+  const Instant until = aNow + WithDrift(kTokenLifetime);
+  const double spare = this->bucket.Tokens() - static_cast<double>(this->waiting.size());
+  // What is borrowed may have to be returned sooner.
+  const double room = this->CapacityOf(this->OwnUnits()) - this->GivenTokens();
+  const double given = std::min({ spare, room, aRequest.tokens, kMostTokensAsked });
+  if (given < kSmallestGift || until >= this->EarliestLease()) {
+    return aGrant;
+  }
+  aGrant.tokens = this->bucket.Remove(given);
+  aGrant.duration = kTokenLifetime;
+  this->givenTokens.push_back({ aGrant.tokens, until });
+  this->ApplyUnits(aNow);
+  this->FindNextChange();
+  return aGrant;
+}
+
+bool OrganisationQuota::TakeTokens(Instant aNow, const QuotaLoanGrant& aGrant, Instant aRequestSent)
+{
+  PeerState& peer = this->peers[aGrant.loan.lender];
+  if (aGrant.requestNumber != peer.tokensRequest) {
+    return false;
+  }
+  // A repeated answer must not bring the tokens again.
+  peer.tokensRequest = 0;
+  if (aGrant.tokens <= 0) {
+    peer.tokensPause = std::clamp(peer.tokensPause * 2, kShortestTokensPause, kLongestTokensPause);
+    peer.askTokensAt = aNow + peer.tokensPause;
+    return false;
+  }
+  peer.tokensPause = Duration{ 0 };
+  peer.askTokensAt = aNow;
+  const Instant until = aRequestSent + aGrant.duration;
+  if (aNow >= until) {
+    return false;
+  }
+  this->takenTokens.push_back({ aGrant.tokens, until });
+  return true;
+}
+
+std::vector<QuotaLoanRequest> OrganisationQuota::PlanTokenRequests(Instant aNow,
+                                                                   const std::vector<VmId>& aPeers)
+{
+  const Instant now = this->Settle(aNow);
+  this->DropEndedWaits(now);
+  std::vector<QuotaLoanRequest> requests;
+  const double missing = static_cast<double>(this->waiting.size()) - this->AvailableTokens();
+  if (missing <= 0 || aPeers.empty()) {
+    return requests;
+  }
+  const std::size_t first = this->nextPeer++;
+  for (std::size_t i = 0; i < aPeers.size() && requests.size() < kPeersAskedForTokens; ++i) {
+    const VmId& lender = aPeers[(first + i) % aPeers.size()];
+    PeerState& peer = this->peers[lender];
+    if (lender == this->self || peer.askTokensAt > now) {
+      continue;
+    }
+    peer.askTokensAt = now + kAnswerPause;
+    peer.tokensRequest = ++this->lastRequest;
+    QuotaLoanRequest request;
+    request.organisation = this->organisation;
+    request.lender = lender;
+    request.borrower = this->self;
+    request.borrowerIncarnation = this->incarnation;
+    request.number = peer.tokensRequest;
+    request.tokens = std::min(missing, kMostTokensAsked);
+    requests.push_back(std::move(request));
+  }
+  return requests;
+}
+
+double OrganisationQuota::AvailableTokens() const
+{
+  double available = this->bucket.Tokens();
+  for (const SentTokens& taken : this->takenTokens) {
+    available += taken.count;
+  }
+  return available;
+}
+
+bool OrganisationQuota::TryTakeToken(Instant aNow)
+{
+  // Rounding must not turn tokens that sum up to one into a refusal, nor create any.
+  double missing = 1;
+  if (this->AvailableTokens() < missing) {
+    return false;
+  }
+  for (SentTokens& taken : this->takenTokens) {
+    const double used = std::min(taken.count, missing);
+    taken.count -= used;
+    missing -= used;
+  }
+  return this->bucket.TryTake(aNow, std::min(missing, this->bucket.Tokens()));
+}
+
 QuotaUnits OrganisationQuota::Units(Instant aNow)
 {
   this->Settle(aNow);
@@ -303,7 +425,7 @@
 double OrganisationQuota::Tokens(Instant aNow)
 {
   this->Settle(aNow);
-  return this->bucket.Tokens();
+  return this->AvailableTokens();
 }
 
 Instant OrganisationQuota::Settle(Instant aNow)
@@ -313,9 +435,13 @@
     const Instant at = this->nextChange;
     this->loans.Settle(at);
     std::erase_if(this->shards, [&](const HeldQuotaShard& aHeld) { return aHeld.deadline <= at; });
+    std::erase_if(this->givenTokens, [&](const SentTokens& aSent) { return aSent.until <= at; });
+    std::erase_if(this->takenTokens, [&](const SentTokens& aSent) { return aSent.until <= at; });
     this->ApplyUnits(at);
     this->FindNextChange();
   }
+  std::erase_if(this->takenTokens,
+                [&](const SentTokens& aSent) { return aSent.until <= this->latest; });
   this->bucket.Refill(this->latest);
   return this->latest;
 }
@@ -331,7 +457,22 @@
   }
   this->unitsInForce = units;
   const double part = static_cast<double>(units) / static_cast<double>(kQuotaUnitsTotal);
-  this->bucket.Change(aNow, this->rate * part, this->burst * part);
+  this->bucket.Change(
+    aNow, this->rate * part, std::max(0.0, this->CapacityOf(units) - this->GivenTokens()));
+}
+
+double OrganisationQuota::CapacityOf(QuotaUnits aUnits) const
+{
+  return this->burst * static_cast<double>(aUnits) / static_cast<double>(kQuotaUnitsTotal);
+}
+
+double OrganisationQuota::GivenTokens() const
+{
+  double given = 0;
+  for (const SentTokens& sent : this->givenTokens) {
+    given += sent.count;
+  }
+  return given;
 }
 
 void OrganisationQuota::FindNextChange()
@@ -340,6 +481,9 @@
   for (const HeldQuotaShard& held : this->shards) {
     this->nextChange = std::min(this->nextChange, held.deadline);
   }
+  for (const SentTokens& sent : this->givenTokens) {
+    this->nextChange = std::min(this->nextChange, sent.until);
+  }
 }
 
 QuotaUnits OrganisationQuota::OwnUnits() const
--- a/packages/core/rate/OrganisationQuota.h
+++ b/packages/core/rate/OrganisationQuota.h
@@ -80,6 +80,13 @@
       @param aPeers  reachable VMs of the cell other than this one. */
   std::vector<QuotaLoanRequest> PlanRequests(Instant aNow, const std::vector<VmId>& aPeers);
 
+  /** Returns requests for tokens, when requests wait that this VM has no tokens for. Call it
+      whenever a request is told to wait, and after each answer. Loans follow the demand within
+      seconds; tokens bridge chance variations, which are large where a small burst is divided among
+      many VMs, and demand that has just moved to this VM.
+      @param aPeers  as for PlanRequests(). */
+  std::vector<QuotaLoanRequest> PlanTokenRequests(Instant aNow, const std::vector<VmId>& aPeers);
+
   /** Units in force at aNow. */
   QuotaUnits Units(Instant aNow);
   /** Tokens there at aNow. */
@@ -101,8 +108,24 @@
   {
     Instant askAgainAt{};
     Duration pause{ 0 };
+    Instant askTokensAt{};
+    Duration tokensPause{ 0 };
+    /** Number of the request for tokens that awaits its answer, or zero. */
+    std::uint64_t tokensRequest = 0;
+  };
+  /** Tokens that belong to one VM and may be used by another until an instant. */
+  struct SentTokens
+  {
+    double count = 0;
+    Instant until{};
   };
 
+  QuotaLoanGrant GiveTokens(Instant aNow, const QuotaLoanRequest& aRequest, QuotaLoanGrant aGrant);
+  bool TakeTokens(Instant aNow, const QuotaLoanGrant& aGrant, Instant aRequestSent);
+  double AvailableTokens() const;
+  double CapacityOf(QuotaUnits aUnits) const;
+  double GivenTokens() const;
+  bool TryTakeToken(Instant aNow);
   Instant Settle(Instant aNow);
   void ApplyUnits(Instant aNow);
   void FindNextChange();
@@ -130,6 +153,11 @@
   std::deque<Waiter> waiting;
   std::uint64_t firstTicket = 1;
   std::uint64_t lastRequest = 0;
+  /** Tokens given to peers. They take up capacity until nobody can use them any more, so that the
+      tokens of all VMs together never exceed the burst. */
+  std::vector<SentTokens> givenTokens;
+  /** Tokens got from peers. */
+  std::vector<SentTokens> takenTokens;
   std::map<VmId, PeerState> peers;
   std::size_t nextPeer = 0;
 };
--- a/packages/core/rate/OrganisationQuotaTable.cpp
+++ b/packages/core/rate/OrganisationQuotaTable.cpp
@@ -121,6 +121,16 @@
   return requests;
 }
 
+std::vector<QuotaLoanRequest> OrganisationQuotaTable::PlanTokenRequests(
+  Instant aNow,
+  const OrganisationName& aOrganisation,
+  const std::vector<VmId>& aPeers)
+{
+  OrganisationQuota* quota = this->Find(aOrganisation);
+  return quota == nullptr ? std::vector<QuotaLoanRequest>()
+                          : quota->PlanTokenRequests(aNow, aPeers);
+}
+
 OrganisationQuota* OrganisationQuotaTable::Find(const OrganisationName& aOrganisation)
 {
   const auto place = this->entries.find(aOrganisation);
--- a/packages/core/rate/OrganisationQuotaTable.h
+++ b/packages/core/rate/OrganisationQuotaTable.h
@@ -44,6 +44,11 @@
   bool Borrow(Instant aNow, const QuotaLoanGrant& aGrant, Instant aRequestSent);
   std::vector<QuotaLoanRequest> PlanRequests(Instant aNow, const std::vector<VmId>& aPeers);
 
+  /** Requests for tokens of one organisation; see OrganisationQuota::PlanTokenRequests. */
+  std::vector<QuotaLoanRequest> PlanTokenRequests(Instant aNow,
+                                                  const OrganisationName& aOrganisation,
+                                                  const std::vector<VmId>& aPeers);
+
   /** Returns the quota of a configured organisation, or nullptr. The pointer stays valid as long as
       the table. */
   OrganisationQuota* Find(const OrganisationName& aOrganisation);
--- a/packages/core/rate/QuotaLoanGrant.h
+++ b/packages/core/rate/QuotaLoanGrant.h
@@ -19,8 +19,11 @@
   std::uint64_t borrowerIncarnation = 0;
   std::uint64_t requestNumber = 0;
   bool isExtension = false;
+  /** Answers a request for tokens alone. */
+  bool isTokensOnly = false;
   QuotaUnits units = 0;
-  /** Tokens that the lender gave up; zero for an extension. */
+  /** Tokens that the lender gave up; zero for an extension. Tokens without units may be used for
+      the grant's duration only. */
   double tokens = 0;
   /** How long the loan lasts from before the borrower's request was sent. */
   Duration duration{ 0 };
--- a/packages/core/rate/QuotaLoanRequest.h
+++ b/packages/core/rate/QuotaLoanRequest.h
@@ -23,6 +23,9 @@
   QuotaUnits units = 0;
   /** The loan to extend, or nothing for a new loan. */
   std::optional<QuotaLoanId> extends;
+  /** Tokens for requests that wait now; set in requests for zero units only. They are used at once
+      or lost, and no rate goes along. */
+  double tokens = 0;
 
   friend bool operator==(const QuotaLoanRequest&, const QuotaLoanRequest&) = default;
 };
--- a/packages/core/tests/OrganisationQuotaTest.cpp
+++ b/packages/core/tests/OrganisationQuotaTest.cpp
@@ -52,7 +52,7 @@
 
 QuotaLoanRequest Request(std::uint64_t aNumber, QuotaUnits aUnits)
 {
-  return { kOrganisation, kPeer, kSelf, 1, aNumber, aUnits, std::nullopt };
+  return { kOrganisation, kPeer, kSelf, 1, aNumber, aUnits, std::nullopt, 0 };
 }
 
 struct Counts
--- a/packages/protocol/peer/PeerMessageCodec.cpp
+++ b/packages/protocol/peer/PeerMessageCodec.cpp
@@ -39,6 +39,7 @@
 constexpr const char* kBorrower = "g";
 constexpr const char* kBorrowerIncarnation = "h";
 constexpr const char* kIsExtension = "y";
+constexpr const char* kIsTokensOnly = "aa";
 constexpr const char* kUnresolved = "j";
 constexpr const char* kDuration = "u";
 constexpr const char* kChange = "b";
@@ -375,6 +376,9 @@
   aWriter.WriteValue(kBorrowerIncarnation, request.borrowerIncarnation);
   aWriter.WriteValue(kNumber, request.number);
   aWriter.WriteUnits(request.units);
+  if (request.tokens != 0) {
+    aWriter.WriteAmount(kTokens, request.tokens);
+  }
   if (request.extends) {
     aWriter.WriteLoan(*request.extends);
   }
@@ -389,6 +393,9 @@
   aWriter.WriteValue(kBorrowerIncarnation, grant.borrowerIncarnation);
   aWriter.WriteValue(kNumber, grant.requestNumber);
   aWriter.WriteValue(kIsExtension, grant.isExtension);
+  if (grant.isTokensOnly) {
+    aWriter.WriteValue(kIsTokensOnly, true);
+  }
   aWriter.WriteUnits(grant.units);
   aWriter.WriteAmount(kTokens, grant.tokens);
   aWriter.WriteDuration(kDuration, grant.duration);
@@ -437,6 +444,9 @@
   request.borrowerIncarnation = aReader.ReadNumber(kBorrowerIncarnation);
   request.number = aReader.ReadNumber(kNumber);
   request.units = aReader.ReadUnits();
+  if (aReader.Has(kTokens)) {
+    request.tokens = aReader.ReadAmount(kTokens);
+  }
   if (aReader.Has(kLoan)) {
     request.extends = aReader.ReadLoan();
   }
@@ -451,6 +461,7 @@
   grant.borrowerIncarnation = aReader.ReadNumber(kBorrowerIncarnation);
   grant.requestNumber = aReader.ReadNumber(kNumber);
   grant.isExtension = aReader.ReadFlag(kIsExtension);
+  grant.isTokensOnly = aReader.Has(kIsTokensOnly) && aReader.ReadFlag(kIsTokensOnly);
   grant.units = aReader.ReadUnits();
   grant.tokens = aReader.ReadAmount(kTokens);
   grant.duration = aReader.ReadDuration(kDuration);
--- a/packages/protocol/peer/tests/PeerMessageCodecTest.cpp
+++ b/packages/protocol/peer/tests/PeerMessageCodecTest.cpp
@@ -81,6 +81,9 @@
     if (this->Few() == 0) {
       request.extends = this->Loan();
     }
+    if (this->Few() == 0) {
+      request.tokens = this->Amount();
+    }
     return request;
   }
 
@@ -93,6 +96,7 @@
     grant.borrowerIncarnation = this->random();
     grant.requestNumber = this->random();
     grant.isExtension = this->Few() == 0;
+    grant.isTokensOnly = this->Few() == 0;
     grant.units = static_cast<QuotaUnits>(this->random() % kQuotaUnitsTotal);
     grant.tokens = this->Amount();
     grant.duration = this->Age().value_or(Duration{ 1 });
