--- a/packages/core/tests/FairQueueTest.cpp
+++ b/packages/core/tests/FairQueueTest.cpp
@@ -66,12 +66,43 @@
   CPPUNIT_TEST_SUITE(FairQueueTest);
   CPPUNIT_TEST(SharesByWeight);
   CPPUNIT_TEST(GivesNoCreditForIdleTime);
+  CPPUNIT_TEST(ServesARareRequestFirstAndNoMoreThanItsWeight);
   CPPUNIT_TEST(RefusesWhenFull);
   CPPUNIT_TEST(SetsExpiredItemsApart);
   CPPUNIT_TEST(ReturnsEachItemOnceInSeededHistories);
   CPPUNIT_TEST_SUITE_END();
 
 public:
+  /** Guards against rare requests that wait behind whole turns of a flooding organisation, and
+      against an organisation that gains from that by pushing one request at a time. */
+  void ServesARareRequestFirstAndNoMoreThanItsWeight()
+  {
+    constexpr unsigned kWeight = 8;
+    FairQueue<OrganisationName> queue(1000, 2000);
+    queue.SetWeight(kLarge, kWeight);
+    const Instant deadline = kStart + seconds(10);
+    for (int count = 0; count < 500; ++count) {
+      CPPUNIT_ASSERT(queue.Push(kLarge, kLarge, deadline));
+    }
+    // Its first turn, and one item of its second.
+    for (unsigned count = 0; count < kWeight + 1; ++count) {
+      CPPUNIT_ASSERT(queue.Pop(kStart) == kLarge);
+    }
+    CPPUNIT_ASSERT(queue.Push(kSmall, kSmall, deadline));
+    Section("the rare request comes next", [&] { CPPUNIT_ASSERT(queue.Pop(kStart) == kSmall); });
+    Section("one at a time, it is served once in a round", [&] {
+      constexpr int kRounds = 20;
+      int small = 0;
+      for (unsigned pops = 0; pops < kRounds * (kWeight + 1); ++pops) {
+        if (queue.SizeOf(kSmall) == 0) {
+          CPPUNIT_ASSERT(queue.Push(kSmall, kSmall, deadline));
+        }
+        small += queue.Pop(kStart) == kSmall ? 1 : 0;
+      }
+      CPPUNIT_ASSERT(small >= kRounds - 1 && small <= kRounds + 1);
+    });
+  }
+
   void SharesByWeight()
   {
     FairQueue<OrganisationName> queue(1000, 2000);
