--- a/tests/e2e/TransactionTest.cpp
+++ b/tests/e2e/TransactionTest.cpp
@@ -104,10 +104,7 @@
           break;
         case 2:
           // A single statement must not end up in a transaction that someone left open.
-          this->ledger.Record(
-            marker,
-            value,
-            caller.Execute("bookings", "single-" + marker, "INSERT " + marker + " " + value));
+          this->ledger.Record(marker, value, Insert(caller, marker, value));
           break;
         default:
           this->ledger.Record(marker, value, this->Transact(caller, group, marker, value));
@@ -116,6 +113,15 @@
     }
   }
 
+  static CallAnswer Insert(const CallerClient& aCaller,
+                           const std::string& aMarker,
+                           const std::string& aValue)
+  {
+    std::string statement = "INSERT ";
+    statement.append(aMarker).append(" ").append(aValue);
+    return aCaller.Execute("bookings", "single-" + aMarker, statement);
+  }
+
   /** Leaves a transaction open that has written to a group; nothing of it may show. */
   void Abandon(const CallerClient& aCaller, const std::string& aGroup, const std::string& aMarker)
   {
