Confirm reads that waited for a replica which leads by now

Cause: ReadFlow decided when it queued a read whether the answer comes from the primary. A server that was promoted meanwhile answered as a replica, and its entries were passed on without a majority. Change: the decision is made when the frame is sent, with the frame's term. Before: RequestFlowTest::TestReplicaThatWasPromoted: the read was passed on while no other server held the new term. After: passes. Conclusion: a session never sees entries that are on the new primary alone.

--- a/packages/daemon/request/ReadFlow.cpp
+++ b/packages/daemon/request/ReadFlow.cpp
@@ -99,16 +99,19 @@
                             bool aIsPrimary,
                             const std::shared_ptr<ConnectionLease>& aLease)
 {
-  // The primary may have changed while the operation waited for a connection.
-  const ServerAddress server = aIsPrimary ? this->dispatcher->Primary().server : aServer;
+  // The primary may have changed while the operation waited for a connection. A server that leads
+  // now may hold entries that no other server has, so its answer has to be confirmed.
+  const ServerAddress primary = this->dispatcher->Primary().server;
+  const ServerAddress server = aIsPrimary ? primary : aServer;
+  const bool leads = server == primary;
   aLease->Send(
     MakeExecuteFrame(
       this->dispatcher->Primary().term, this->request.statement, this->request.requestId, true),
     this->request.deadline - aNow,
-    [self = this->shared_from_this(), lease = aLease, server, aIsPrimary, sentAt = aNow](
+    [self = this->shared_from_this(), lease = aLease, server, leads, sentAt = aNow](
       Instant aLater, const Outcome<database::v1::Answer>& aAnswer) {
       self->dispatcher->ObserveAnswer(aLater, server, sentAt, aAnswer);
-      self->OnAnswer(aLater, server, aIsPrimary, aAnswer);
+      self->OnAnswer(aLater, server, leads, aAnswer);
     });
 }
 
--- a/packages/daemon/tests/RequestFlowTest.cpp
+++ b/packages/daemon/tests/RequestFlowTest.cpp
@@ -14,7 +14,7 @@
   CPPUNIT_TEST_SUITE(RequestFlowTest);
   CPPUNIT_TEST(TestConfirmationAfterPromotion);
   CPPUNIT_TEST(TestNewPrimaryAloneProvesNoAbsence);
-  //OFF CPPUNIT_TEST(TestReplicaThatWasPromoted);
+  CPPUNIT_TEST(TestReplicaThatWasPromoted);
   //OFF CPPUNIT_TEST(TestRequestIdsOfTwoOrganisations);
   //OFF CPPUNIT_TEST(TestTransactionReadsAreMonotonic);
   //OFF CPPUNIT_TEST(TestCommitCountsAsRunning);
