Keep request ids of different organisations apart

Cause: databases store results by the client's request id. Two organisations that chose the same id got each other's result, and the second write did not run although the reply said so. Change: the id that a database sees is "<organisation>/<id>"; on public routes the organisation is empty. Commits are scoped likewise. Before: RequestFlowTest::TestRequestIdsOfTwoOrganisations: the write of "b" was answered and is absent. After: passes. Conclusion: what looks up ids in a database's log needs the prefix.

--- a/packages/daemon/request/DatabaseFrames.cpp
+++ b/packages/daemon/request/DatabaseFrames.cpp
@@ -2,6 +2,11 @@
 
 namespace mustardshift {
 
+RequestId ScopedRequestId(const OrganisationName& aOrganisation, const RequestId& aRequest)
+{
+  return RequestId(aOrganisation.Text() + '/' + aRequest.Text());
+}
+
 database::v1::Request MakeExecuteFrame(std::uint64_t aTerm,
                                        const Statement& aStatement,
                                        const RequestId& aRequest,
--- a/packages/daemon/request/DatabaseFrames.h
+++ b/packages/daemon/request/DatabaseFrames.h
@@ -11,6 +11,10 @@
 
 namespace mustardshift {
 
+/** Returns the id under which a database knows a client's request. Clients choose their ids, so the
+    ids of different organisations are kept apart. Thread safety: pure. */
+RequestId ScopedRequestId(const OrganisationName& aOrganisation, const RequestId& aRequest);
+
 /** Makes the frame that executes a statement. Thread safety: pure. */
 database::v1::Request MakeExecuteFrame(std::uint64_t aTerm,
                                        const Statement& aStatement,
--- a/packages/daemon/request/RequestProcessor.cpp
+++ b/packages/daemon/request/RequestProcessor.cpp
@@ -1,6 +1,7 @@
 #include "daemon/request/RequestProcessor.h"
 
 #include "adapters/clock/SystemBootClock.h"
+#include "daemon/request/DatabaseFrames.h"
 #include "daemon/request/ReadFlow.h"
 #include "daemon/request/WriteFlow.h"
 
@@ -271,10 +272,12 @@
     reply(
       CallerAnswer{ aResult->rows, this->EncodeToken(std::move(seen)), aResult->servedByReplica });
   };
-  if (aRequest.isReadOnly) {
+  CallerRequest request = aRequest;
+  request.requestId = ScopedRequestId(aAuthenticated.organisation, aRequest.requestId);
+  if (request.isReadOnly) {
     std::make_shared<ReadFlow>(this->loop,
                                aAuthenticated.dispatcher,
-                               aRequest,
+                               request,
                                queueName,
                                aAuthenticated.token,
                                aAuthenticated.route.freshness,
@@ -282,7 +285,7 @@
       ->Start(aNow);
     return;
   }
-  std::make_shared<WriteFlow>(this->loop, aAuthenticated.dispatcher, aRequest, queueName, finish)
+  std::make_shared<WriteFlow>(this->loop, aAuthenticated.dispatcher, request, queueName, finish)
     ->Start(aNow);
 }
 
--- a/packages/daemon/request/TransactionTable.cpp
+++ b/packages/daemon/request/TransactionTable.cpp
@@ -263,14 +263,17 @@
   (*transaction)->isEnding = true;
   database::v1::Request frame;
   frame.set_term((*transaction)->term);
-  frame.mutable_commit()->set_request_id(aRequest.requestId.Text());
+  CallerRequest scoped = aRequest;
+  scoped.requestId = ScopedRequestId((*transaction)->context.organisation, aRequest.requestId);
+  frame.mutable_commit()->set_request_id(scoped.requestId.Text());
   (*transaction)
-    ->lease->Send(std::move(frame),
-                  aRequest.deadline - aNow,
-                  [this, open = *transaction, request = aRequest, reply = std::move(aReply)](
-                    Instant aLater, const Outcome<database::v1::Answer>& aAnswer) {
-                    this->OnCommitAnswer(aLater, open, request, aAnswer, reply);
-                  });
+    ->lease->Send(
+      std::move(frame),
+      aRequest.deadline - aNow,
+      [this, open = *transaction, request = std::move(scoped), reply = std::move(aReply)](
+        Instant aLater, const Outcome<database::v1::Answer>& aAnswer) {
+        this->OnCommitAnswer(aLater, open, request, aAnswer, reply);
+      });
 }
 
 void TransactionTable::OnCommitAnswer(Instant aNow,
--- a/packages/daemon/tests/RequestFlowTest.cpp
+++ b/packages/daemon/tests/RequestFlowTest.cpp
@@ -15,7 +15,7 @@
   CPPUNIT_TEST(TestConfirmationAfterPromotion);
   CPPUNIT_TEST(TestNewPrimaryAloneProvesNoAbsence);
   CPPUNIT_TEST(TestReplicaThatWasPromoted);
-  //OFF CPPUNIT_TEST(TestRequestIdsOfTwoOrganisations);
+  CPPUNIT_TEST(TestRequestIdsOfTwoOrganisations);
   //OFF CPPUNIT_TEST(TestTransactionReadsAreMonotonic);
   //OFF CPPUNIT_TEST(TestCommitCountsAsRunning);
   //OFF CPPUNIT_TEST(TestEntitlementClosesOnlyTheExcess);
