Look up commits whose answer does not say what happened

Cause: an answer to a commit with an unspecified or unexpected status was reported as NotRun. Change: only conflict, wrong term and invalid, which state that nothing was written, are NotRun; any other status is resolved by looking up the id, as WriteFlow does. No test: the stand-in never sends such a status. Conclusion: found by review; the fault was not induced.

--- a/packages/daemon/request/TransactionTable.cpp
+++ b/packages/daemon/request/TransactionTable.cpp
@@ -298,6 +298,14 @@
     this->ResolveCommit(aNow, aTransaction, aRequest, aReply);
     return;
   }
+  const bool saysNotRun = aAnswer->status() == database::v1::ANSWER_STATUS_CONFLICT ||
+                          aAnswer->status() == database::v1::ANSWER_STATUS_WRONG_TERM ||
+                          aAnswer->status() == database::v1::ANSWER_STATUS_INVALID;
+  if (!isClean && !saysNotRun) {
+    // An answer that does not say what happened proves nothing.
+    this->ResolveCommit(aNow, aTransaction, aRequest, aReply);
+    return;
+  }
   if (!isClean) {
     const Reason reason = aAnswer->status() == database::v1::ANSWER_STATUS_CONFLICT
                             ? Reason::TransactionConflict
