Refuse reads that have run as MayHaveRun

Cause: a read whose answer was lost or could not be confirmed ended as NotRun, although the table of verdicts says MayHaveRun for both. Change: ReadFlow notes when an attempt may have run and raises the verdict. Before: see the rows "answer dropped", "answers frozen" and "majority fenced" of FaultTableTest::TestRead. Conclusion: NotRun is true of reads, too.

--- a/packages/daemon/request/ReadFlow.cpp
+++ b/packages/daemon/request/ReadFlow.cpp
@@ -12,7 +12,6 @@
 
 /** Pause before a read that no server could serve is planned anew. */
 constexpr Duration kReplanPause = std::chrono::milliseconds(20);
-constexpr RequestKind kRead{ true, true, false };
 
 template<class... Handlers>
 struct Overloaded : Handlers...
@@ -121,6 +120,7 @@
                         const Outcome<database::v1::Answer>& aAnswer)
 {
   if (!aAnswer) {
+    this->kind.mayHaveRunBefore |= aAnswer.error().verdict != Verdict::NotRun;
     this->PlanAgain(aNow, aServer);
     return;
   }
@@ -128,12 +128,14 @@
     case database::v1::ANSWER_STATUS_OK:
       break;
     case database::v1::ANSWER_STATUS_INVALID:
-      this->Refuse(aNow, Resolve(RequestStep::AwaitAnswer, Fault::StatementInvalid, kRead));
+      this->Refuse(aNow, Resolve(RequestStep::AwaitAnswer, Fault::StatementInvalid, this->kind));
       return;
     default:
       this->PlanAgain(aNow, aServer);
       return;
   }
+  // From here on the read has run, though its answer may not be passed on.
+  this->kind.mayHaveRunBefore = true;
   if (!aIsPrimary && !this->dispatcher->MayPassOn(aServer, *aAnswer, this->floor)) {
     this->PlanAgain(aNow, aServer);
     return;
@@ -176,7 +178,7 @@
 void ReadFlow::PlanLater(Instant aNow)
 {
   if (aNow + kReplanPause >= this->request.deadline) {
-    this->Refuse(aNow, Resolve(RequestStep::Queue, Fault::NoEligibleReplica, kRead));
+    this->Refuse(aNow, Resolve(RequestStep::Queue, Fault::NoEligibleReplica, this->kind));
     return;
   }
   this->failed.clear();
@@ -186,6 +188,9 @@
 
 void ReadFlow::Refuse(Instant aNow, Refusal aRefusal)
 {
+  if (this->kind.mayHaveRunBefore) {
+    aRefusal.verdict = Verdict::MayHaveRun;
+  }
   this->callback(aNow, tl::unexpected<Refusal>(std::move(aRefusal)));
 }
 
--- a/packages/daemon/request/ReadFlow.h
+++ b/packages/daemon/request/ReadFlow.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/base/RequestKind.h"
 #include "core/session/SessionToken.h"
 #include "daemon/request/CallerRequest.h"
 #include "daemon/request/DatabaseDispatcher.h"
@@ -54,6 +55,8 @@
   FlowCallback callback;
   LogPosition floor;
   std::set<ServerAddress> failed;
+  /** Whether an earlier attempt may have run is part of it. */
+  RequestKind kind{ true, true, false };
 };
 
 } // namespace mustardshift
