Let late callbacks outlive the event loop

Cause: callbacks of gRPC and of the shared timer held a reference to the event loop and could post to it after it was destroyed. The loop's thread id was read while another thread still assigned it, and timers were destroyed after the members that their contents use. Change: EventLoop::Handle owns the inbox; database connections, pools and dispatchers post through it. Stop() drops timers and deferred tasks while the loop is whole. Conclusion: found by review; the tests destroy loops with answers outstanding, and were not run under a sanitizer.

--- a/packages/daemon/loop/EventLoop.cpp
+++ b/packages/daemon/loop/EventLoop.cpp
@@ -16,7 +16,7 @@
 } // namespace
 
 EventLoop::EventLoop(std::size_t aCapacity)
-  : ring(aCapacity)
+  : inbox(std::make_shared<Inbox>(aCapacity))
 {
 }
 
@@ -33,29 +33,32 @@
 
 void EventLoop::Stop()
 {
-  this->stopping = true;
+  this->inbox->stopping = true;
   // Producers that wait for room in a full ring go on once it is emptied.
   if (this->thread.joinable()) {
     this->thread.join();
   }
-  while (this->ring.PopFor(Duration{ 0 })) {
+  while (this->inbox->ring.PopFor(Duration{ 0 })) {
   }
+  // What the tasks own may still refer to the loop.
+  this->timers.clear();
+  this->inbox->deferred.clear();
 }
 
 bool EventLoop::TryPost(Task aTask)
 {
-  if (this->stopping) {
+  if (this->inbox->stopping) {
     return false;
   }
-  return this->ring.TryPush(std::move(aTask));
+  return this->inbox->ring.TryPush(std::move(aTask));
 }
 
-void EventLoop::Post(Task aTask)
+void EventLoop::Inbox::Post(Task aTask)
 {
   if (this->stopping) {
     return;
   }
-  if (std::this_thread::get_id() == this->thread.get_id()) {
+  if (std::this_thread::get_id() == this->loopThread.load()) {
     this->deferred.push_back(std::move(aTask));
     return;
   }
@@ -70,7 +73,7 @@
     aTask(aNow);
     done->set_value();
   });
-  while (!this->stopping) {
+  while (!this->inbox->stopping) {
     if (finished.wait_for(kLongestWait) == std::future_status::ready) {
       return true;
     }
@@ -103,23 +106,24 @@
 
 void EventLoop::RunDeferred()
 {
-  while (!this->deferred.empty()) {
-    const Task task = std::move(this->deferred.front());
-    this->deferred.pop_front();
+  while (!this->inbox->deferred.empty()) {
+    const Task task = std::move(this->inbox->deferred.front());
+    this->inbox->deferred.pop_front();
     task(SystemBootClock{}.Now());
   }
 }
 
 void EventLoop::Run()
 {
-  while (!this->stopping) {
+  this->inbox->loopThread = std::this_thread::get_id();
+  while (!this->inbox->stopping) {
     const Instant now = SystemBootClock{}.Now();
     this->FireTimers(now);
     Duration wait = kLongestWait;
     if (!this->timers.empty()) {
       wait = std::clamp(this->timers.begin()->first.first - now, Duration{ 0 }, kLongestWait);
     }
-    const std::optional<Task> task = this->ring.PopFor(wait);
+    const std::optional<Task> task = this->inbox->ring.PopFor(wait);
     if (task) {
       (*task)(SystemBootClock{}.Now());
       this->RunDeferred();
--- a/packages/daemon/loop/EventLoop.h
+++ b/packages/daemon/loop/EventLoop.h
@@ -9,6 +9,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <memory>
 #include <thread>
 #include <utility>
 
@@ -24,6 +25,41 @@
   /** Names a timer that has not fired yet. */
   using TimerId = std::pair<Instant, std::uint64_t>;
 
+private:
+  /** What producers share with the loop; it lives until the last of them is gone. */
+  struct Inbox
+  {
+    explicit Inbox(std::size_t aCapacity)
+      : ring(aCapacity)
+    {
+    }
+    void Post(Task aTask);
+
+    BoundedRing<Task> ring;
+    /** Tasks that the loop's own thread posted while the ring might have been full. */
+    std::deque<Task> deferred;
+    std::atomic<std::thread::id> loopThread{};
+    std::atomic<bool> stopping{ false };
+  };
+
+public:
+  /** Posts to a loop, also after the loop was destroyed; tasks are dropped then. For callbacks of
+      other threads that may come late. Thread safety: any thread. */
+  class Handle
+  {
+  public:
+    /** See EventLoop::Post. */
+    void Post(Task aTask) const { this->inbox->Post(std::move(aTask)); }
+
+  private:
+    friend class EventLoop;
+    explicit Handle(std::shared_ptr<Inbox> aInbox)
+      : inbox(std::move(aInbox))
+    {
+    }
+    std::shared_ptr<Inbox> inbox;
+  };
+
   /** Precondition: aCapacity > 0, the largest number of tasks that wait. */
   explicit EventLoop(std::size_t aCapacity);
   /** Stops the loop. */
@@ -44,7 +80,10 @@
 
   /** Adds a task; waits while the loop is full. Use it for the completion of running work, which
       must not be lost. On the loop's own thread the task never waits. Thread safety: any thread. */
-  void Post(Task aTask);
+  void Post(Task aTask) { this->inbox->Post(std::move(aTask)); }
+
+  /** Returns a handle that may outlive the loop. Thread safety: any thread. */
+  Handle GetHandle() const { return Handle(this->inbox); }
 
   /** Runs a task on the loop and waits until it is done. Returns false when the loop is stopped.
       Thread safety: any thread but the loop's. */
@@ -61,12 +100,9 @@
   void FireTimers(Instant aNow);
   void RunDeferred();
 
-  BoundedRing<Task> ring;
-  /** Tasks that the loop's own thread posted while the ring might have been full. */
-  std::deque<Task> deferred;
+  std::shared_ptr<Inbox> inbox;
   std::map<TimerId, Task> timers;
   std::uint64_t nextTimer = 0;
-  std::atomic<bool> stopping{ false };
   std::thread thread;
 };
 
--- a/packages/daemon/request/DatabaseDispatcher.cpp
+++ b/packages/daemon/request/DatabaseDispatcher.cpp
@@ -275,19 +275,22 @@
   round->sentAt = aNow;
   round->primary = this->primary;
   for (const auto& [address, server] : this->servers) {
-    server.client->Report(
-      kProbeTimeout,
-      [weak = this->weak_from_this(), &eventLoop = this->loop, server = address, round, aCallback](
-        const Outcome<database::v1::ServerReport>& aReport) {
-        eventLoop.Post([weak, server, round, aCallback, aReport](Instant aLater) {
-          aCallback(aLater, server, aReport);
-          const auto self = weak.lock();
-          if (self && aReport) {
-            self->ObserveReport(aLater, server, round->sentAt, *aReport);
-            self->LearnFromRound(*round, server, *aReport);
-          }
-        });
-      });
+    server.client->Report(kProbeTimeout,
+                          [weak = this->weak_from_this(),
+                           eventLoop = this->loop.GetHandle(),
+                           server = address,
+                           round,
+                           aCallback](const Outcome<database::v1::ServerReport>& aReport) {
+                            eventLoop.Post(
+                              [weak, server, round, aCallback, aReport](Instant aLater) {
+                                aCallback(aLater, server, aReport);
+                                const auto self = weak.lock();
+                                if (self && aReport) {
+                                  self->ObserveReport(aLater, server, round->sentAt, *aReport);
+                                  self->LearnFromRound(*round, server, *aReport);
+                                }
+                              });
+                          });
   }
 }
 
@@ -483,7 +486,7 @@
   found->second.client->LookUpRequest(
     aRequest,
     aTimeout,
-    [&eventLoop = this->loop, callback = std::move(aCallback)](
+    [eventLoop = this->loop.GetHandle(), callback = std::move(aCallback)](
       const Outcome<database::v1::LookUpRequestResponse>& aResponse) {
       eventLoop.Post([callback, aResponse](Instant aNow) { callback(aNow, aResponse); });
     });
@@ -500,7 +503,7 @@
   }
   found->second.client->Report(
     aTimeout,
-    [&eventLoop = this->loop,
+    [eventLoop = this->loop.GetHandle(),
      callback = std::move(aCallback)](const Outcome<database::v1::ServerReport>& aReport) {
       eventLoop.Post([callback, aReport](Instant aNow) { callback(aNow, aReport); });
     });
--- a/packages/daemon/request/ServerConnection.cpp
+++ b/packages/daemon/request/ServerConnection.cpp
@@ -12,7 +12,7 @@
 {
   DatabaseConnectionOptions options;
   options.userAgent = aUserAgent;
-  options.onOpened = [&loop = this->loop, aOnOpened](const Outcome<void>& aOutcome) {
+  options.onOpened = [loop = this->loop.GetHandle(), aOnOpened](const Outcome<void>& aOutcome) {
     const bool opened = aOutcome.has_value();
     loop.Post([aOnOpened, opened](Instant aNow) { aOnOpened(aNow, opened); });
   };
@@ -26,7 +26,8 @@
   this->connection->Send(
     std::move(aRequest),
     aTimeout,
-    [&loop = this->loop, callback = std::move(aCallback)](Outcome<database::v1::Answer> aAnswer) {
+    [loop = this->loop.GetHandle(),
+     callback = std::move(aCallback)](Outcome<database::v1::Answer> aAnswer) {
       loop.Post([callback, answer = std::move(aAnswer)](Instant aNow) { callback(aNow, answer); });
     });
 }
--- a/packages/daemon/request/ServerPool.cpp
+++ b/packages/daemon/request/ServerPool.cpp
@@ -18,6 +18,7 @@
                        std::string aUserAgent,
                        std::function<void(Instant)> aOnAvailable)
   : loop(aLoop)
+  , handle(aLoop.GetHandle())
   , server(std::move(aServer))
   , userAgent(std::move(aUserAgent))
   , onAvailable(std::move(aOnAvailable))
@@ -121,7 +122,8 @@
     aConnection->Close();
   }
   this->DropUnusable();
-  this->loop.Post([weak = this->weak_from_this()](Instant aNow) {
+  // A lease may end with a task that outlives the loop.
+  this->handle.Post([weak = this->weak_from_this()](Instant aNow) {
     if (const auto self = weak.lock()) {
       self->onAvailable(aNow);
     }
--- a/packages/daemon/request/ServerPool.h
+++ b/packages/daemon/request/ServerPool.h
@@ -67,6 +67,7 @@
   void OnOpened(Instant aNow, bool aOpened);
 
   EventLoop& loop;
+  EventLoop::Handle handle;
   ServerAddress server;
   std::string userAgent;
   std::function<void(Instant)> onAvailable;
