Compare verdicts with the servers' logs for each fault of a request's way

Fifteen faults, one line each, for reads, replica reads, writes, repeatable writes and commits; the verdict is compared with the logs at the reply and again after a fence and a promotion of the most advanced server. A test shows that the comparison fails on untrue verdicts.

--- /dev/null
+++ b/packages/daemon/tests/FaultTableTest.cpp
@@ -0,0 +1,366 @@
+#include "RequestFixture.h"
+#include "support/Section.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <atomic>
+#include <mutex>
+#include <thread>
+
+namespace mustardshift::test {
+
+namespace {
+
+/** Time for a request of the table; faults that last use all of it. */
+constexpr Duration kRequestTime = std::chrono::milliseconds(700);
+/** Longer than the request, so that the answer arrives after its deadline. */
+constexpr std::uint32_t kVeryLate = 1000;
+
+constexpr int kCasesAtATime = 4;
+
+enum class Kind
+{
+  Read,
+  ReplicaRead,
+  Write,
+  RepeatableWrite,
+  Commit,
+};
+
+using Inject = void (*)(RequestFixture&);
+
+struct FaultCase
+{
+  const char* name;
+  /** Before the request; null for none. */
+  Inject before;
+  /** While the request waits; null for none. */
+  Inject during;
+  /** For each kind the verdicts that are right, of R(un), N(ot run), M(ay have run); a dot skips
+      the kind. */
+  std::array<const char*, 5> verdicts;
+  const char* statement = nullptr;
+};
+
+void InjectOnce(RequestFixture& aFixture, void (*aSet)(standin::v1::OneTimeFaults&))
+{
+  standin::v1::OneTimeFaults faults;
+  aSet(faults);
+  for (const auto& server : aFixture.group.servers) {
+    server->InjectOnce(faults);
+  }
+}
+
+void SetFaults(RequestFixture& aFixture,
+               std::initializer_list<std::size_t> aServers,
+               void (*aSet)(standin::v1::DatabaseFaults&))
+{
+  standin::v1::DatabaseFaults faults;
+  aSet(faults);
+  for (const std::size_t server : aServers) {
+    aFixture.group.At(server).SetFaults(faults);
+  }
+}
+
+void Unreachable(RequestFixture& aFixture)
+{
+  SetFaults(aFixture, { 0, 1, 2 }, [](auto& f) { f.add_unreachable_user_agents("vm-1"); });
+  for (const auto& server : aFixture.group.servers) {
+    server->CutConnections();
+  }
+}
+
+void CutBefore(RequestFixture& aFixture)
+{
+  InjectOnce(aFixture, [](auto& f) { f.set_cut_before_running(1); });
+}
+
+void CutAfter(RequestFixture& aFixture)
+{
+  InjectOnce(aFixture, [](auto& f) { f.set_cut_after_running(1); });
+}
+
+void Drop(RequestFixture& aFixture)
+{
+  InjectOnce(aFixture, [](auto& f) { f.set_drop_answers(1); });
+}
+
+void Late(RequestFixture& aFixture)
+{
+  InjectOnce(aFixture, [](auto& f) {
+    f.set_late_answers(1);
+    f.set_late_ms(50);
+  });
+}
+
+void TooLate(RequestFixture& aFixture)
+{
+  InjectOnce(aFixture, [](auto& f) {
+    f.set_late_answers(1);
+    f.set_late_ms(kVeryLate);
+  });
+}
+
+void Freeze(RequestFixture& aFixture)
+{
+  SetFaults(aFixture, { 0 }, [](auto& f) { f.set_freeze_answers(true); });
+}
+
+void NoMajority(RequestFixture& aFixture)
+{
+  SetFaults(aFixture, { 1, 2 }, [](auto& f) { f.set_cut_off(true); });
+}
+
+/** The others accept a later term of which neither the primary nor the VM has heard. */
+void FenceOthers(RequestFixture& aFixture)
+{
+  NoMajority(aFixture);
+  for (const std::size_t server : { 1, 2 }) {
+    CPPUNIT_ASSERT(aFixture.group.At(server).client->AcceptTerm(3, kTimeout)->accepted());
+  }
+}
+
+void FencePrimary(RequestFixture& aFixture)
+{
+  CPPUNIT_ASSERT(aFixture.group.At(0).client->AcceptTerm(3, kTimeout)->accepted());
+}
+
+void Promote(RequestFixture& aFixture)
+{
+  // The answers of server 0 are frozen, so that it is not asked.
+  aFixture.group.At(1).Lead(3);
+  aFixture.group.Follow(2, 3, 1);
+  aFixture.Learn(3, 1);
+  aFixture.Probe();
+}
+
+void NoConnections(RequestFixture& aFixture)
+{
+  aFixture.OnLoop([&](Instant) { aFixture.dispatcher->SetEntitlement(0); });
+}
+
+void Conflict(RequestFixture& aFixture)
+{
+  CallerRequest request = MakeCallerRequest("rival", "PUT count 0");
+  CPPUNIT_ASSERT(aFixture.Run(request));
+}
+
+// Verdicts for: read, replica read, write, repeatable write, commit.
+const std::array<FaultCase, 15> kCases{ {
+  { "no fault", nullptr, nullptr, { "R", "R", "R", "R", "R" } },
+  { "connections refused", Unreachable, nullptr, { "N", "N", "N", "N", "N" } },
+  { "cut before the frame runs", CutBefore, nullptr, { "R", "R", "M", "R", "M" } },
+  { "cut after the frame ran", CutAfter, nullptr, { "R", "R", "R", "R", "R" } },
+  { "answer dropped", Drop, nullptr, { "M", "M", "M", "M", "M" } },
+  { "answer late", Late, nullptr, { "R", "R", "R", "R", "R" } },
+  { "answer after the deadline", TooLate, nullptr, { "M", "M", "RM", "M", "RM" } },
+  { "answers frozen", Freeze, nullptr, { "M", "R", "M", "M", "M" } },
+  // The others still accept the primary's term and hold what a read returns.
+  { "no majority", NoMajority, nullptr, { "R", "R", "M", "M", "M" } },
+  { "majority fenced", FenceOthers, nullptr, { "M", ".", "M", "M", "M" } },
+  { "primary fenced", FencePrimary, nullptr, { "N", "R", "N", "N", "N" } },
+  { "promotion while the answer is awaited", Freeze, Promote, { "R", "R", "RN", "R", "RN" } },
+  // A commit has its connection already.
+  { "deadline in the queue", NoConnections, nullptr, { "N", "N", "N", "N", "." } },
+  { "invalid statement", nullptr, nullptr, { "N", "N", "N", "N", "." }, "NONSENSE" },
+  { "conflict", nullptr, Conflict, { ".", ".", ".", ".", "N" } },
+} };
+
+char LetterOf(const Outcome<CallerAnswer>& aOutcome)
+{
+  if (aOutcome) {
+    return 'R';
+  }
+  return aOutcome.error().verdict == Verdict::NotRun ? 'N' : 'M';
+}
+
+/** Guards against verdicts that the servers' logs contradict, now or later. */
+class FaultTableTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(FaultTableTest);
+  CPPUNIT_TEST(TestRead);
+  CPPUNIT_TEST(TestReplicaRead);
+  CPPUNIT_TEST(TestWrite);
+  CPPUNIT_TEST(TestRepeatableWrite);
+  CPPUNIT_TEST(TestCommit);
+  CPPUNIT_TEST(TestCheckerSeesUntrueVerdicts);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void TestRead() { RunTable(Kind::Read); }
+  void TestReplicaRead() { RunTable(Kind::ReplicaRead); }
+  void TestWrite() { RunTable(Kind::Write); }
+  void TestRepeatableWrite() { RunTable(Kind::RepeatableWrite); }
+  void TestCommit() { RunTable(Kind::Commit); }
+
+  /** Shows that the comparison with the logs can fail. */
+  void TestCheckerSeesUntrueVerdicts()
+  {
+    for (const bool runs : { true, false }) {
+      RequestFixture fixture;
+      const char* statement = runs ? "ADD count 1" : "ADD other 1";
+      CPPUNIT_ASSERT(fixture.Run(MakeCallerRequest(runs ? "tested" : "other", statement)));
+      CPPUNIT_ASSERT(!CheckLogs(fixture, runs ? 'N' : 'R').empty());
+    }
+    RequestFixture fixture;
+    CPPUNIT_ASSERT(fixture.Run(MakeCallerRequest("tested", "ADD count 2")));
+    CPPUNIT_ASSERT(!CheckLogs(fixture, 'M').empty());
+  }
+
+private:
+  /** Runs all cases of a kind, several at a time, and reports every one that fails. */
+  static void RunTable(Kind aKind)
+  {
+    std::mutex mutex;
+    std::string failures;
+    std::atomic<std::size_t> next{ 0 };
+    const auto work = [&] {
+      for (std::size_t i = next++; i < kCases.size(); i = next++) {
+        const std::string failure = RunGuarded(kCases.at(i), aKind);
+        const std::lock_guard lock(mutex);
+        failures += failure.empty() ? "" : std::string("\n  ") + kCases.at(i).name + ": " + failure;
+      }
+    };
+    std::vector<std::thread> threads;
+    for (int i = 0; i < kCasesAtATime; ++i) {
+      threads.emplace_back(work);
+    }
+    for (std::thread& thread : threads) {
+      thread.join();
+    }
+    CPPUNIT_ASSERT_MESSAGE(failures, failures.empty());
+  }
+
+  static std::string RunGuarded(const FaultCase& aCase, Kind aKind)
+  {
+    const std::string allowed = aCase.verdicts.at(static_cast<std::size_t>(aKind));
+    try {
+      return allowed == "." ? "" : RunCase(aCase, aKind, allowed);
+    } catch (const CppUnit::Exception& exception) {
+      return exception.what();
+    }
+  }
+
+  static std::string RunCase(const FaultCase& aCase, Kind aKind, const std::string& aAllowed)
+  {
+    RequestFixture fixture;
+    const bool isRead = aKind == Kind::Read || aKind == Kind::ReplicaRead;
+    CPPUNIT_ASSERT(fixture.Run(MakeCallerRequest("seed", "PUT seed value")));
+    CPPUNIT_ASSERT(Eventually([&] { return Holders(fixture, "seed") == 3; }));
+    fixture.Probe();
+    CallerRequest request = MakeCallerRequest("tested",
+                                              isRead ? "GET seed" : "ADD count 1",
+                                              aKind == Kind::ReplicaRead ? kOldRoute : kRoute);
+    TransactionId id;
+    if (aKind == Kind::Commit) {
+      id = fixture.Begin(MakeCallerRequest("begin", ""));
+      auto added = fixture.ExecuteIn(id, MakeCallerRequest("", request.statement.text));
+      CPPUNIT_ASSERT(RequestFixture::Get(added));
+    }
+    if (aCase.statement != nullptr) {
+      request.statement.text = aCase.statement;
+    }
+    request.isReadOnly = isRead;
+    request.isRepeatable = aKind == Kind::RepeatableWrite;
+    const std::uint64_t readsBefore = Reads(fixture);
+    if (aCase.before != nullptr) {
+      aCase.before(fixture);
+    }
+    if (aKind == Kind::Commit && aCase.during == Conflict) {
+      Conflict(fixture);
+    }
+    request.deadline = SystemBootClock{}.Now() + kRequestTime;
+    if (aCase.during == Promote) {
+      request.deadline += std::chrono::seconds(8);
+    }
+    auto reply = aKind == Kind::Commit ? fixture.Commit(id, request) : fixture.Execute(request);
+    if (aCase.during == Promote) {
+      Promote(fixture);
+    }
+    const auto outcome = RequestFixture::Get(reply);
+    const char verdict = LetterOf(outcome);
+    std::string failure;
+    if (aAllowed.find(verdict) == std::string::npos) {
+      failure += std::string("verdict ") + verdict + " instead of " + aAllowed + "; ";
+      failure += outcome ? "" : outcome.error().message + "; ";
+    }
+    if (isRead) {
+      if (outcome && outcome->rows != std::vector<std::string>{ "value" }) {
+        failure += "wrong rows; ";
+      }
+      if (verdict == 'N' && Reads(fixture) != readsBefore) {
+        failure += "a read that is not run has run; ";
+      }
+    } else {
+      failure += CheckLogs(fixture, verdict);
+    }
+    if (fixture.secondReplies != 0) {
+      failure += "a second reply; ";
+    }
+    return failure;
+  }
+
+  /** Compares a write's verdict with the logs, at once and after a promotion of each server. */
+  static std::string CheckLogs(RequestFixture& aFixture, char aVerdict)
+  {
+    if (aVerdict == 'R' && Holders(aFixture, "tested") < 2) {
+      return "run, but not on a majority; ";
+    }
+    for (const auto& server : aFixture.group.servers) {
+      server->SetFaults({});
+    }
+    // A server that was cut off is not always ahead, so the one with the highest position leads.
+    std::size_t best = 0;
+    database::v1::Position bestPosition;
+    for (std::size_t i = 0; i < 3; ++i) {
+      const auto report = aFixture.group.At(i).client->AcceptTerm(9, kTimeout);
+      CPPUNIT_ASSERT(report && report->accepted());
+      const auto position = report->position();
+      if (std::pair(position.term(), position.offset()) >
+          std::pair(bestPosition.term(), bestPosition.offset())) {
+        best = i;
+        bestPosition = position;
+      }
+    }
+    aFixture.group.Lead(best, 9);
+    aFixture.Learn(9, best);
+    aFixture.OnLoop([&](Instant) { aFixture.dispatcher->SetEntitlement(4); });
+    CallerRequest read = MakeCallerRequest("last", "GET count");
+    read.isReadOnly = true;
+    const auto last = aFixture.Run(read);
+    CPPUNIT_ASSERT_MESSAGE(last ? "" : last.error().message, last.has_value());
+    const std::string count = last->rows.empty() ? "0" : last->rows.front();
+    const bool fits = aVerdict == 'R'   ? count == "1"
+                      : aVerdict == 'N' ? count == "0"
+                                        : count == "0" || count == "1";
+    return fits ? "" : "the count is " + count + "; ";
+  }
+
+  /** Servers whose log holds a request id. */
+  static int Holders(RequestFixture& aFixture, const std::string& aId)
+  {
+    int holders = 0;
+    for (const auto& server : aFixture.group.servers) {
+      for (const std::string& id : { aId, "/" + aId }) {
+        const auto found = server->client->LookUpRequest(RequestId(id), kShortTimeout);
+        holders += found && found->found() ? 1 : 0;
+      }
+    }
+    return holders;
+  }
+
+  static std::uint64_t Reads(RequestFixture& aFixture)
+  {
+    std::uint64_t reads = 0;
+    for (const auto& server : aFixture.group.servers) {
+      reads += server->Counters().reads();
+    }
+    return reads;
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FaultTableTest);
+
+} // namespace
+
+} // namespace mustardshift::test
