Date confirmed positions from before their request

Cause: ConfirmMajority recorded a position for the freshness bounds of routes as of the moment at which the confirmation began. The position is as old as its request; after a late answer or a pause, a replica at that position counted as fresh although later writes were known. Change: callers pass the instant before the request that told the position. Transactions pass none and leave the tracking to statements and probes. Conclusion: a route's freshness bound holds when answers are late.

--- a/packages/daemon/request/DatabaseDispatcher.cpp
+++ b/packages/daemon/request/DatabaseDispatcher.cpp
@@ -42,7 +42,7 @@
 {
   LogPosition position;
   Instant deadline{};
-  Instant started{};
+  std::optional<Instant> positionAskedAt;
   ConfirmCallback callback;
   bool isDone = false;
 
@@ -401,6 +401,7 @@
 
 void DatabaseDispatcher::ConfirmMajority(Instant aNow,
                                          LogPosition aPosition,
+                                         std::optional<Instant> aPositionAskedAt,
                                          Instant aDeadline,
                                          ConfirmCallback aCallback)
 {
@@ -413,7 +414,7 @@
   auto confirmation = std::make_shared<Confirmation>();
   confirmation->position = aPosition;
   confirmation->deadline = aDeadline;
-  confirmation->started = aNow;
+  confirmation->positionAskedAt = aPositionAskedAt;
   confirmation->callback = std::move(aCallback);
   this->loop.Schedule(aDeadline, [confirmation](Instant aLater) {
     confirmation->Finish(
@@ -459,7 +460,9 @@
                          (aConfirmation->position.offset == 0 ||
                           PositionOf(aAnswer->position()) >= aConfirmation->position);
       if (holds) {
-        self->ObserveConfirmed(aConfirmation->started, aConfirmation->position);
+        if (aConfirmation->positionAskedAt) {
+          self->ObserveConfirmed(*aConfirmation->positionAskedAt, aConfirmation->position);
+        }
         aConfirmation->Finish(aLater, {});
         return;
       }
--- a/packages/daemon/request/DatabaseDispatcher.h
+++ b/packages/daemon/request/DatabaseDispatcher.h
@@ -100,9 +100,13 @@
   /** Waits until a majority of the group, the primary included, holds a position under the term it
       was written in. The refusals are MayHaveRun: NotAcknowledged, or WrongTerm when a server has
       accepted a later term or this VM knows another term's primary. The callback may run within the
-      call. */
+      call.
+      @param aPositionAskedAt  instant before the request was sent whose answer told the position;
+                               nothing when the position is not the end of the primary's log then.
+   */
   void ConfirmMajority(Instant aNow,
                        LogPosition aPosition,
+                       std::optional<Instant> aPositionAskedAt,
                        Instant aDeadline,
                        ConfirmCallback aCallback);
 
--- a/packages/daemon/request/LostAnswerResolver.cpp
+++ b/packages/daemon/request/LostAnswerResolver.cpp
@@ -83,7 +83,7 @@
 {
   this->dispatcher->ReportPrimary(
     std::min(kLookUpTimeout, this->deadline - aNow),
-    [self = this->shared_from_this(), aTerm, aResult](
+    [self = this->shared_from_this(), aTerm, aResult, askedAt = aNow](
       Instant aLater, const Outcome<database::v1::ServerReport>& aReport) {
       if (!aReport || !aReport->leads() || aReport->accepted_term() != aTerm ||
           aReport->position().term() != aTerm) {
@@ -94,6 +94,7 @@
       self->dispatcher->ConfirmMajority(
         aLater,
         end,
+        askedAt,
         self->deadline,
         [self, end, aResult](Instant aConfirmedAt, const Outcome<void>& aConfirmed) {
           if (!aConfirmed) {
--- a/packages/daemon/request/ReadFlow.cpp
+++ b/packages/daemon/request/ReadFlow.cpp
@@ -110,12 +110,13 @@
     [self = this->shared_from_this(), lease = aLease, server, leads, sentAt = aNow](
       Instant aLater, const Outcome<database::v1::Answer>& aAnswer) {
       self->dispatcher->ObserveAnswer(aLater, server, sentAt, aAnswer);
-      self->OnAnswer(aLater, server, leads, aAnswer);
+      self->OnAnswer(aLater, server, sentAt, leads, aAnswer);
     });
 }
 
 void ReadFlow::OnAnswer(Instant aNow,
                         const ServerAddress& aServer,
+                        Instant aSentAt,
                         bool aIsPrimary,
                         const Outcome<database::v1::Answer>& aAnswer)
 {
@@ -140,10 +141,10 @@
     this->PlanAgain(aNow, aServer);
     return;
   }
-  this->PassOn(aNow, ResultOf(*aAnswer), aIsPrimary);
+  this->PassOn(aNow, aSentAt, ResultOf(*aAnswer), aIsPrimary);
 }
 
-void ReadFlow::PassOn(Instant aNow, FlowResult aResult, bool aIsPrimary)
+void ReadFlow::PassOn(Instant aNow, Instant aSentAt, FlowResult aResult, bool aIsPrimary)
 {
   if (!aIsPrimary) {
     aResult.servedByReplica = true;
@@ -155,6 +156,7 @@
   this->dispatcher->ConfirmMajority(
     aNow,
     aResult.position,
+    aSentAt,
     this->request.deadline,
     [self = this->shared_from_this(), aResult](Instant aLater, const Outcome<void>& aConfirmed) {
       if (aConfirmed) {
--- a/packages/daemon/request/ReadFlow.h
+++ b/packages/daemon/request/ReadFlow.h
@@ -39,9 +39,10 @@
                     const std::shared_ptr<ConnectionLease>& aLease);
   void OnAnswer(Instant aNow,
                 const ServerAddress& aServer,
+                Instant aSentAt,
                 bool aIsPrimary,
                 const Outcome<database::v1::Answer>& aAnswer);
-  void PassOn(Instant aNow, FlowResult aResult, bool aIsPrimary);
+  void PassOn(Instant aNow, Instant aSentAt, FlowResult aResult, bool aIsPrimary);
   void PlanAgain(Instant aNow, const ServerAddress& aFailed);
   void PlanLater(Instant aNow);
   void Refuse(Instant aNow, Refusal aRefusal);
--- a/packages/daemon/request/TransactionTable.cpp
+++ b/packages/daemon/request/TransactionTable.cpp
@@ -233,6 +233,7 @@
   aTransaction->context.dispatcher->ConfirmMajority(
     aNow,
     result.position,
+    std::nullopt,
     aDeadline,
     [this, aTransaction, result, aReply](Instant /*aLater*/, const Outcome<void>& aConfirmed) {
       aTransaction->isBusy = false;
@@ -317,6 +318,7 @@
   aTransaction->context.dispatcher->ConfirmMajority(
     aNow,
     result.position,
+    std::nullopt,
     aRequest.deadline,
     [this, aTransaction, aRequest, result, aReply](Instant aLater,
                                                    const Outcome<void>& aConfirmed) {
--- a/packages/daemon/request/WriteFlow.cpp
+++ b/packages/daemon/request/WriteFlow.cpp
@@ -62,13 +62,15 @@
   aLease->Send(
     MakeExecuteFrame(this->sentTerm, this->request.statement, this->request.requestId, false),
     this->request.deadline - aNow,
-    [self = this->shared_from_this(),
-     lease = aLease](Instant aLater, const Outcome<database::v1::Answer>& aAnswer) {
-      self->OnAnswer(aLater, aAnswer);
+    [self = this->shared_from_this(), lease = aLease, sentAt = aNow](
+      Instant aLater, const Outcome<database::v1::Answer>& aAnswer) {
+      self->OnAnswer(aLater, sentAt, aAnswer);
     });
 }
 
-void WriteFlow::OnAnswer(Instant aNow, const Outcome<database::v1::Answer>& aAnswer)
+void WriteFlow::OnAnswer(Instant aNow,
+                         Instant aSentAt,
+                         const Outcome<database::v1::Answer>& aAnswer)
 {
   if (!aAnswer) {
     this->OnNoAnswer(aNow, aAnswer.error());
@@ -76,7 +78,7 @@
   }
   switch (aAnswer->status()) {
     case database::v1::ANSWER_STATUS_OK:
-      this->Acknowledge(aNow, ResultOf(*aAnswer));
+      this->Acknowledge(aNow, aSentAt, ResultOf(*aAnswer));
       return;
     case database::v1::ANSWER_STATUS_WRONG_TERM:
       // The server says that nothing ran, so even a non-repeatable statement may go to the new
@@ -115,11 +117,12 @@
   this->LookUp(aNow);
 }
 
-void WriteFlow::Acknowledge(Instant aNow, const FlowResult& aResult)
+void WriteFlow::Acknowledge(Instant aNow, Instant aSentAt, const FlowResult& aResult)
 {
   this->dispatcher->ConfirmMajority(
     aNow,
     aResult.position,
+    aSentAt,
     this->request.deadline,
     [self = this->shared_from_this(), aResult](Instant aLater, const Outcome<void>& aConfirmed) {
       if (aConfirmed) {
--- a/packages/daemon/request/WriteFlow.h
+++ b/packages/daemon/request/WriteFlow.h
@@ -32,9 +32,9 @@
   void Attempt(Instant aNow);
   void AttemptLater(Instant aNow, RequestStep aStep, Fault aFault);
   void OnConnection(Instant aNow, const std::shared_ptr<ConnectionLease>& aLease);
-  void OnAnswer(Instant aNow, const Outcome<database::v1::Answer>& aAnswer);
+  void OnAnswer(Instant aNow, Instant aSentAt, const Outcome<database::v1::Answer>& aAnswer);
   void OnNoAnswer(Instant aNow, const Refusal& aRefusal);
-  void Acknowledge(Instant aNow, const FlowResult& aResult);
+  void Acknowledge(Instant aNow, Instant aSentAt, const FlowResult& aResult);
   void LookUp(Instant aNow);
   void Refuse(Instant aNow, RequestStep aStep, Fault aFault);
 
--- a/packages/daemon/tests/RequestFlowTest.cpp
+++ b/packages/daemon/tests/RequestFlowTest.cpp
@@ -19,6 +19,7 @@
   CPPUNIT_TEST(TestTransactionReadsAreMonotonic);
   CPPUNIT_TEST(TestCommitCountsAsRunning);
   CPPUNIT_TEST(TestEntitlementClosesOnlyTheExcess);
+  CPPUNIT_TEST(TestLateAnswerIsNoFreshPosition);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -37,6 +38,7 @@
       fixture.dispatcher->ConfirmMajority(
         aNow,
         { 2, report->position().offset() },
+        std::nullopt,
         aNow + std::chrono::milliseconds(500),
         [aReply](Instant, const Outcome<void>& aOutcome) {
           aReply(aOutcome ? Outcome<bool>(true) : tl::unexpected<Refusal>(aOutcome.error()));
@@ -189,6 +191,29 @@
     CPPUNIT_ASSERT(before > 2);
     CPPUNIT_ASSERT_EQUAL(before - 1, after);
   }
+
+  /** The position in an answer is as old as its request; a late answer must not make a replica at
+      that position count as fresh. */
+  void TestLateAnswerIsNoFreshPosition()
+  {
+    RequestFixture fixture;
+    standin::v1::OneTimeFaults late;
+    late.set_late_answers(1);
+    late.set_late_ms(600);
+    fixture.group.At(0).InjectOnce(late);
+    auto first = fixture.Execute(MakeCallerRequest("first", "ADD a 1"));
+    CPPUNIT_ASSERT(Eventually([&] { return fixture.group.At(0).Counters().writes() == 1; }));
+    CPPUNIT_ASSERT(fixture.Run(MakeCallerRequest("second", "ADD b 1")));
+    const auto end = fixture.group.At(0).client->Report(kTimeout);
+    CPPUNIT_ASSERT(RequestFixture::Get(first));
+    PlannedRead planned;
+    fixture.OnLoop([&](Instant aNow) {
+      planned = fixture.dispatcher->PlanRead(
+        aNow, SessionToken(), std::chrono::milliseconds(300), aNow + kTimeout, {});
+    });
+    CPPUNIT_ASSERT(std::holds_alternative<ReadAtPrimary>(planned.plan) ||
+                   planned.floor.offset >= end->position().offset());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RequestFlowTest);
