--- a/packages/daemon/tests/FaultTableTest.cpp
+++ b/packages/daemon/tests/FaultTableTest.cpp
@@ -64,7 +64,8 @@
 
 void Unreachable(RequestFixture& aFixture)
 {
-  SetFaults(aFixture, { 0, 1, 2 }, [](auto& f) { f.add_unreachable_user_agents("vm-1"); });
+  SetFaults(
+    aFixture, { 0, 1, 2 }, [](auto& aFaults) { aFaults.add_unreachable_user_agents("vm-1"); });
   for (const auto& server : aFixture.group.servers) {
     server->CutConnections();
   }
@@ -72,43 +73,43 @@
 
 void CutBefore(RequestFixture& aFixture)
 {
-  InjectOnce(aFixture, [](auto& f) { f.set_cut_before_running(1); });
+  InjectOnce(aFixture, [](auto& aFaults) { aFaults.set_cut_before_running(1); });
 }
 
 void CutAfter(RequestFixture& aFixture)
 {
-  InjectOnce(aFixture, [](auto& f) { f.set_cut_after_running(1); });
+  InjectOnce(aFixture, [](auto& aFaults) { aFaults.set_cut_after_running(1); });
 }
 
 void Drop(RequestFixture& aFixture)
 {
-  InjectOnce(aFixture, [](auto& f) { f.set_drop_answers(1); });
+  InjectOnce(aFixture, [](auto& aFaults) { aFaults.set_drop_answers(1); });
 }
 
 void Late(RequestFixture& aFixture)
 {
-  InjectOnce(aFixture, [](auto& f) {
-    f.set_late_answers(1);
-    f.set_late_ms(50);
+  InjectOnce(aFixture, [](auto& aFaults) {
+    aFaults.set_late_answers(1);
+    aFaults.set_late_ms(50);
   });
 }
 
 void TooLate(RequestFixture& aFixture)
 {
-  InjectOnce(aFixture, [](auto& f) {
-    f.set_late_answers(1);
-    f.set_late_ms(kVeryLate);
+  InjectOnce(aFixture, [](auto& aFaults) {
+    aFaults.set_late_answers(1);
+    aFaults.set_late_ms(kVeryLate);
   });
 }
 
 void Freeze(RequestFixture& aFixture)
 {
-  SetFaults(aFixture, { 0 }, [](auto& f) { f.set_freeze_answers(true); });
+  SetFaults(aFixture, { 0 }, [](auto& aFaults) { aFaults.set_freeze_answers(true); });
 }
 
 void NoMajority(RequestFixture& aFixture)
 {
-  SetFaults(aFixture, { 1, 2 }, [](auto& f) { f.set_cut_off(true); });
+  SetFaults(aFixture, { 1, 2 }, [](auto& aFaults) { aFaults.set_cut_off(true); });
 }
 
 /** The others accept a later term of which neither the primary nor the VM has heard. */
@@ -222,6 +223,7 @@
       }
     };
     std::vector<std::thread> threads;
+    threads.reserve(kCasesAtATime);
     for (int i = 0; i < kCasesAtATime; ++i) {
       threads.emplace_back(work);
     }
