--- a/packages/daemon/tests/RequestFlowTest.cpp
+++ b/packages/daemon/tests/RequestFlowTest.cpp
@@ -175,6 +175,7 @@
   {
     RequestFixture fixture;
     std::vector<std::future<Outcome<CallerAnswer>>> replies;
+    replies.reserve(4);
     for (int i = 0; i < 4; ++i) {
       replies.push_back(fixture.Execute(MakeCallerRequest("w" + std::to_string(i), "ADD n 1")));
     }
