--- a/packages/daemon/Daemon.cpp
+++ b/packages/daemon/Daemon.cpp
@@ -236,6 +236,9 @@
   }
   this->peerNode = std::move(*node);
   this->peers.Use(*this->peerNode);
+  this->processor.SetWaitObserver([this](Instant aNow, const OrganisationName& aOrganisation) {
+    this->peers.RequestTokens(aNow, aOrganisation);
+  });
   this->peers.ListRead(Instant::min(), SystemBootClock{}.Now(), this->ListMembers({}));
   tl::expected<void, std::string> servers = this->StartServers();
   if (!servers) {
--- a/packages/daemon/failover/FailoverDriver.cpp
+++ b/packages/daemon/failover/FailoverDriver.cpp
@@ -238,7 +238,7 @@
     return;
   }
   client->Report(kSuspicionCheckTimeout,
-                 [&eventLoop = this->loop, aCallback, aSuspected](
+                 [eventLoop = this->loop.GetHandle(), aCallback, aSuspected](
                    const Outcome<database::v1::ServerReport>& aReport) {
                    const bool leads =
                      aReport && aReport->leads() && aReport->accepted_term() == aSuspected.term;
--- a/packages/daemon/peer/PeerExchange.cpp
+++ b/packages/daemon/peer/PeerExchange.cpp
@@ -137,11 +137,22 @@
 }
 
 void PeerExchange::RequestLoans(Instant aNow)
+{
+  this->SendLoanRequests(aNow, this->quota.PlanRequests(aNow, this->Serving(aNow)));
+}
+
+void PeerExchange::RequestTokens(Instant aNow, const OrganisationName& aOrganisation)
+{
+  this->SendLoanRequests(aNow,
+                         this->quota.PlanTokenRequests(aNow, aOrganisation, this->Serving(aNow)));
+}
+
+void PeerExchange::SendLoanRequests(Instant aNow, const std::vector<QuotaLoanRequest>& aRequests)
 {
   if (this->node == nullptr) {
     return;
   }
-  for (const QuotaLoanRequest& request : this->quota.PlanRequests(aNow, this->Serving(aNow))) {
+  for (const QuotaLoanRequest& request : aRequests) {
     const QuotaLoanRequestMessage message{ this->MakeHeader(), request };
     this->sentAt[message.header.messageId] = aNow;
     this->node->Send(request.lender, message);
@@ -254,6 +265,10 @@
   }
   this->quota.Borrow(aNow, aMessage.grant, sent->second);
   this->sentAt.erase(sent);
+  if (aMessage.grant.isTokensOnly) {
+    // Requests that still wait are worth asking the next peer for.
+    this->RequestTokens(aNow, aMessage.grant.organisation);
+  }
 }
 
 void PeerExchange::On(Instant /*aNow*/, const VmId& /*aPeer*/, const ConfigurationPush& aMessage)
--- a/packages/daemon/peer/PeerExchange.h
+++ b/packages/daemon/peer/PeerExchange.h
@@ -76,6 +76,9 @@
   /** Asks peers for quota where demand exceeds what this VM holds. */
   void RequestLoans(Instant aNow);
 
+  /** Asks peers for tokens for an organisation's requests that wait. */
+  void RequestTokens(Instant aNow, const OrganisationName& aOrganisation);
+
   void Receive(Instant aNow, const VmId& aPeer, const PeerMessage& aMessage);
 
   /** Sends an accepted change to all peers. */
@@ -118,6 +121,7 @@
                        bool aSuspects);
   PeerHeader MakeHeader(std::uint64_t aAnswers = 0);
   PeerState MakeState(Instant aNow, const VmId& aPeer);
+  void SendLoanRequests(Instant aNow, const std::vector<QuotaLoanRequest>& aRequests);
   void Broadcast(const std::function<PeerMessage()>& aMake);
   void On(Instant aNow, const VmId& aPeer, const mustardshift::Ping& aMessage);
   void On(Instant aNow, const VmId& aPeer, const Pong& aMessage);
--- a/packages/daemon/request/DatabaseDispatcher.cpp
+++ b/packages/daemon/request/DatabaseDispatcher.cpp
@@ -44,7 +44,7 @@
 {
   LogPosition position;
   Instant deadline{};
-  Instant started{};
+  std::optional<Instant> positionAskedAt;
   ConfirmCallback callback;
   bool isDone = false;
 
@@ -280,19 +280,22 @@
     if (aScope == ProbeScope::PrimaryOnly && address != this->primary.server) {
       continue;
     }
-    server.client->Report(
-      kProbeTimeout,
-      [weak = this->weak_from_this(), &eventLoop = this->loop, server = address, round, aCallback](
-        const Outcome<database::v1::ServerReport>& aReport) {
-        eventLoop.Post([weak, server, round, aCallback, aReport](Instant aLater) {
-          aCallback(aLater, server, aReport);
-          const auto self = weak.lock();
-          if (self && aReport) {
-            self->ObserveReport(aLater, server, round->sentAt, *aReport);
-            self->LearnFromRound(*round, server, *aReport);
-          }
-        });
-      });
+    server.client->Report(kProbeTimeout,
+                          [weak = this->weak_from_this(),
+                           eventLoop = this->loop.GetHandle(),
+                           server = address,
+                           round,
+                           aCallback](const Outcome<database::v1::ServerReport>& aReport) {
+                            eventLoop.Post(
+                              [weak, server, round, aCallback, aReport](Instant aLater) {
+                                aCallback(aLater, server, aReport);
+                                const auto self = weak.lock();
+                                if (self && aReport) {
+                                  self->ObserveReport(aLater, server, round->sentAt, *aReport);
+                                  self->LearnFromRound(*round, server, *aReport);
+                                }
+                              });
+                          });
   }
 }
 
@@ -407,13 +410,20 @@
 
 void DatabaseDispatcher::ConfirmMajority(Instant aNow,
                                          LogPosition aPosition,
+                                         std::optional<Instant> aPositionAskedAt,
                                          Instant aDeadline,
                                          ConfirmCallback aCallback)
 {
+  if (aPosition.term != this->primary.term) {
+    // The primary may have changed between the answer and this call. The deposed one is among the
+    // servers asked below, and would confirm its own position.
+    aCallback(aNow, RefuseMayHaveRun(Reason::WrongTerm, "the database's primary was replaced"));
+    return;
+  }
   auto confirmation = std::make_shared<Confirmation>();
   confirmation->position = aPosition;
   confirmation->deadline = aDeadline;
-  confirmation->started = aNow;
+  confirmation->positionAskedAt = aPositionAskedAt;
   confirmation->callback = std::move(aCallback);
   this->loop.Schedule(aDeadline, [confirmation](Instant aLater) {
     confirmation->Finish(
@@ -459,7 +469,9 @@
                          (aConfirmation->position.offset == 0 ||
                           PositionOf(aAnswer->position()) >= aConfirmation->position);
       if (holds) {
-        self->ObserveConfirmed(aConfirmation->started, aConfirmation->position);
+        if (aConfirmation->positionAskedAt) {
+          self->ObserveConfirmed(*aConfirmation->positionAskedAt, aConfirmation->position);
+        }
         aConfirmation->Finish(aLater, {});
         return;
       }
@@ -472,20 +484,6 @@
     });
 }
 
-std::optional<LogPosition> DatabaseDispatcher::FirstPositionOfTerm() const
-{
-  const auto found = this->servers.find(this->primary.server);
-  if (found == this->servers.end()) {
-    return std::nullopt;
-  }
-  for (const TermStart& start : found->second.view.history.Starts()) {
-    if (start.term == this->primary.term) {
-      return LogPosition{ start.term, start.firstOffset };
-    }
-  }
-  return std::nullopt;
-}
-
 void DatabaseDispatcher::LookUpRequest(const RequestId& aRequest,
                                        Duration aTimeout,
                                        LookUpCallback aCallback)
@@ -500,12 +498,29 @@
   found->second.client->LookUpRequest(
     aRequest,
     aTimeout,
-    [&eventLoop = this->loop, callback = std::move(aCallback)](
+    [eventLoop = this->loop.GetHandle(), callback = std::move(aCallback)](
       const Outcome<database::v1::LookUpRequestResponse>& aResponse) {
       eventLoop.Post([callback, aResponse](Instant aNow) { callback(aNow, aResponse); });
     });
 }
 
+void DatabaseDispatcher::ReportPrimary(Duration aTimeout, ReportCallback aCallback)
+{
+  const auto found = this->servers.find(this->primary.server);
+  if (found == this->servers.end()) {
+    this->loop.Post([callback = std::move(aCallback)](Instant aNow) {
+      callback(aNow, RefuseNotRun(Reason::NoPrimary, "the database has no known primary"));
+    });
+    return;
+  }
+  found->second.client->Report(
+    aTimeout,
+    [eventLoop = this->loop.GetHandle(),
+     callback = std::move(aCallback)](const Outcome<database::v1::ServerReport>& aReport) {
+      eventLoop.Post([callback, aReport](Instant aNow) { callback(aNow, aReport); });
+    });
+}
+
 std::size_t DatabaseDispatcher::QueuedOperations() const
 {
   std::size_t count = this->primaryQueue.size();
--- a/packages/daemon/request/DatabaseDispatcher.h
+++ b/packages/daemon/request/DatabaseDispatcher.h
@@ -35,6 +35,7 @@
   using ConfirmCallback = std::function<void(Instant, Outcome<void>)>;
   using ProbeCallback =
     std::function<void(Instant, const ServerAddress&, const Outcome<database::v1::ServerReport>&)>;
+  using ReportCallback = std::function<void(Instant, Outcome<database::v1::ServerReport>)>;
   using LookUpCallback = std::function<void(Instant, Outcome<database::v1::LookUpRequestResponse>)>;
 
   /** @param aUserAgent  identifies this VM to the servers.
@@ -105,21 +106,24 @@
                        ServerConnection::AnswerCallback aCallback);
 
   /** Waits until a majority of the group, the primary included, holds a position under the term it
-      was written in. The refusals are MayHaveRun: DeadlineExceeded, or WrongTerm when a server has
-      accepted a later term. */
+      was written in. The refusals are MayHaveRun: NotAcknowledged, or WrongTerm when a server has
+      accepted a later term or this VM knows another term's primary. The callback may run within the
+      call.
+      @param aPositionAskedAt  instant before the request was sent whose answer told the position;
+                               nothing when the position is not the end of the primary's log then.
+   */
   void ConfirmMajority(Instant aNow,
                        LogPosition aPosition,
+                       std::optional<Instant> aPositionAskedAt,
                        Instant aDeadline,
                        ConfirmCallback aCallback);
 
-  /** Returns the first position that the present primary wrote in its term, as its last report
-     shows it; nothing if no report has shown it yet. A majority that holds it holds everything that
-     the primary took over from earlier terms, and no later primary lacks it. */
-  std::optional<LogPosition> FirstPositionOfTerm() const;
-
   /** Asks the present primary's log for a request id. */
   void LookUpRequest(const RequestId& aRequest, Duration aTimeout, LookUpCallback aCallback);
 
+  /** Asks the present primary for its report. */
+  void ReportPrimary(Duration aTimeout, ReportCallback aCallback);
+
   const DatabaseName& Name() const { return this->group.name; }
   const GroupPrimary& Primary() const { return this->primary; }
   bool IsInService() const { return this->group.inService; }
--- a/packages/daemon/request/LostAnswerResolver.cpp
+++ b/packages/daemon/request/LostAnswerResolver.cpp
@@ -1,9 +1,9 @@
 #include "daemon/request/LostAnswerResolver.h"
 
 #include "core/base/VerdictTable.h"
+#include "daemon/request/DatabaseFrames.h"
 
 #include <algorithm>
-#include <optional>
 #include <utility>
 
 namespace mustardshift {
@@ -41,9 +41,9 @@
   this->dispatcher->LookUpRequest(
     this->request,
     std::min(kLookUpTimeout, this->deadline - aNow),
-    [self = this->shared_from_this(), askedTerm = this->dispatcher->Primary().term](
+    [self = this->shared_from_this()](
       Instant aLater, const Outcome<database::v1::LookUpRequestResponse>& aResponse) {
-      self->OnResponse(aLater, askedTerm, aResponse);
+      self->OnResponse(aLater, aResponse);
     });
 }
 
@@ -54,44 +54,59 @@
 }
 
 void LostAnswerResolver::OnResponse(Instant aNow,
-                                    std::uint64_t aAskedTerm,
                                     const Outcome<database::v1::LookUpRequestResponse>& aResponse)
 {
-  // A server that does not step down for a higher term may still lead in its own view.
-  if (!aResponse || !aResponse->leads() || aResponse->accepted_term() != aAskedTerm ||
-      aAskedTerm != this->dispatcher->Primary().term) {
+  if (!aResponse || !aResponse->leads()) {
     this->AskLater(aNow);
     return;
   }
-  FlowResult result;
-  result.position = { aResponse->position().term(), aResponse->position().offset() };
-  if (!aResponse->found() || result.position.term != aAskedTerm) {
-    // An entry of an earlier term, and its absence, are settled once an entry of the present term
-    // is on a majority. Until then a further promotion may choose a server with another log.
-    const std::optional<LogPosition> first = this->dispatcher->FirstPositionOfTerm();
-    if (!first || (!aResponse->found() && aAskedTerm <= this->sentTerm)) {
-      this->AskLater(aNow);
+  if (!aResponse->found()) {
+    if (aResponse->accepted_term() > this->sentTerm) {
+      this->ConfirmLog(
+        aNow,
+        aResponse->accepted_term(),
+        RefuseNotRun(Reason::AnswerLost,
+                     "the answer was lost, and the new primary shows that nothing ran"));
       return;
     }
-    result.position = *first;
+    this->AskLater(aNow);
+    return;
   }
+  FlowResult result;
   result.rows.assign(aResponse->rows().begin(), aResponse->rows().end());
-  this->dispatcher->ConfirmMajority(
-    aNow,
-    result.position,
-    this->deadline,
-    [self = this->shared_from_this(), result, isFound = aResponse->found()](
-      Instant aLater, const Outcome<void>& aConfirmed) {
-      if (!aConfirmed) {
+  this->ConfirmLog(aNow, aResponse->accepted_term(), std::move(result));
+}
+
+void LostAnswerResolver::ConfirmLog(Instant aNow,
+                                    std::uint64_t aTerm,
+                                    const Outcome<FlowResult>& aResult)
+{
+  this->dispatcher->ReportPrimary(
+    std::min(kLookUpTimeout, this->deadline - aNow),
+    [self = this->shared_from_this(), aTerm, aResult, askedAt = aNow](
+      Instant aLater, const Outcome<database::v1::ServerReport>& aReport) {
+      if (!aReport || !aReport->leads() || aReport->accepted_term() != aTerm ||
+          aReport->position().term() != aTerm) {
         self->AskLater(aLater);
-      } else if (isFound) {
-        self->callback(aLater, result);
-      } else {
-        self->callback(
-          aLater,
-          RefuseNotRun(Reason::AnswerLost,
-                       "the connection was lost, and the new primary shows that nothing ran"));
+        return;
       }
+      const LogPosition end = PositionOf(aReport->position());
+      self->dispatcher->ConfirmMajority(
+        aLater,
+        end,
+        askedAt,
+        self->deadline,
+        [self, end, aResult](Instant aConfirmedAt, const Outcome<void>& aConfirmed) {
+          if (!aConfirmed) {
+            self->AskLater(aConfirmedAt);
+            return;
+          }
+          Outcome<FlowResult> result = aResult;
+          if (result) {
+            result->position = end;
+          }
+          self->callback(aConfirmedAt, result);
+        });
     });
 }
 
--- a/packages/daemon/request/ReadFlow.cpp
+++ b/packages/daemon/request/ReadFlow.cpp
@@ -12,7 +12,6 @@
 
 /** Pause before a read that no server could serve is planned anew. */
 constexpr Duration kReplanPause = std::chrono::milliseconds(20);
-constexpr RequestKind kRead{ true, true, false };
 
 template<class... Handlers>
 struct Overloaded : Handlers...
@@ -99,25 +98,30 @@
                             bool aIsPrimary,
                             const std::shared_ptr<ConnectionLease>& aLease)
 {
-  // The primary may have changed while the operation waited for a connection.
-  const ServerAddress server = aIsPrimary ? this->dispatcher->Primary().server : aServer;
+  // The primary may have changed while the operation waited for a connection. A server that leads
+  // now may hold entries that no other server has, so its answer has to be confirmed.
+  const ServerAddress primary = this->dispatcher->Primary().server;
+  const ServerAddress server = aIsPrimary ? primary : aServer;
+  const bool leads = server == primary;
   aLease->Send(
     MakeExecuteFrame(
       this->dispatcher->Primary().term, this->request.statement, this->request.requestId, true),
     this->request.deadline - aNow,
-    [self = this->shared_from_this(), lease = aLease, server, aIsPrimary, sentAt = aNow](
+    [self = this->shared_from_this(), lease = aLease, server, leads, sentAt = aNow](
       Instant aLater, const Outcome<database::v1::Answer>& aAnswer) {
       self->dispatcher->ObserveAnswer(aLater, server, sentAt, aAnswer);
-      self->OnAnswer(aLater, server, aIsPrimary, aAnswer);
+      self->OnAnswer(aLater, server, sentAt, leads, aAnswer);
     });
 }
 
 void ReadFlow::OnAnswer(Instant aNow,
                         const ServerAddress& aServer,
+                        Instant aSentAt,
                         bool aIsPrimary,
                         const Outcome<database::v1::Answer>& aAnswer)
 {
   if (!aAnswer) {
+    this->kind.mayHaveRunBefore |= aAnswer.error().verdict != Verdict::NotRun;
     this->PlanAgain(aNow, aServer);
     return;
   }
@@ -125,20 +129,22 @@
     case database::v1::ANSWER_STATUS_OK:
       break;
     case database::v1::ANSWER_STATUS_INVALID:
-      this->Refuse(aNow, Resolve(RequestStep::AwaitAnswer, Fault::StatementInvalid, kRead));
+      this->Refuse(aNow, Resolve(RequestStep::AwaitAnswer, Fault::StatementInvalid, this->kind));
       return;
     default:
       this->PlanAgain(aNow, aServer);
       return;
   }
+  // From here on the read has run, though its answer may not be passed on.
+  this->kind.mayHaveRunBefore = true;
   if (!aIsPrimary && !this->dispatcher->MayPassOn(aServer, *aAnswer, this->floor)) {
     this->PlanAgain(aNow, aServer);
     return;
   }
-  this->PassOn(aNow, ResultOf(*aAnswer), aIsPrimary);
+  this->PassOn(aNow, aSentAt, ResultOf(*aAnswer), aIsPrimary);
 }
 
-void ReadFlow::PassOn(Instant aNow, FlowResult aResult, bool aIsPrimary)
+void ReadFlow::PassOn(Instant aNow, Instant aSentAt, FlowResult aResult, bool aIsPrimary)
 {
   if (!aIsPrimary) {
     aResult.servedByReplica = true;
@@ -150,6 +156,7 @@
   this->dispatcher->ConfirmMajority(
     aNow,
     aResult.position,
+    aSentAt,
     this->request.deadline,
     [self = this->shared_from_this(), aResult](Instant aLater, const Outcome<void>& aConfirmed) {
       if (aConfirmed) {
@@ -173,7 +180,7 @@
 void ReadFlow::PlanLater(Instant aNow)
 {
   if (aNow + kReplanPause >= this->request.deadline) {
-    this->Refuse(aNow, Resolve(RequestStep::Queue, Fault::NoEligibleReplica, kRead));
+    this->Refuse(aNow, Resolve(RequestStep::Queue, Fault::NoEligibleReplica, this->kind));
     return;
   }
   this->failed.clear();
@@ -183,6 +190,9 @@
 
 void ReadFlow::Refuse(Instant aNow, Refusal aRefusal)
 {
+  if (this->kind.mayHaveRunBefore) {
+    aRefusal.verdict = Verdict::MayHaveRun;
+  }
   this->callback(aNow, tl::unexpected<Refusal>(std::move(aRefusal)));
 }
 
--- a/packages/daemon/request/ReadFlow.h
+++ b/packages/daemon/request/ReadFlow.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/base/RequestKind.h"
 #include "core/session/SessionToken.h"
 #include "daemon/request/CallerRequest.h"
 #include "daemon/request/DatabaseDispatcher.h"
@@ -38,9 +39,10 @@
                     const std::shared_ptr<ConnectionLease>& aLease);
   void OnAnswer(Instant aNow,
                 const ServerAddress& aServer,
+                Instant aSentAt,
                 bool aIsPrimary,
                 const Outcome<database::v1::Answer>& aAnswer);
-  void PassOn(Instant aNow, FlowResult aResult, bool aIsPrimary);
+  void PassOn(Instant aNow, Instant aSentAt, FlowResult aResult, bool aIsPrimary);
   void PlanAgain(Instant aNow, const ServerAddress& aFailed);
   void PlanLater(Instant aNow);
   void Refuse(Instant aNow, Refusal aRefusal);
@@ -54,6 +56,8 @@
   FlowCallback callback;
   LogPosition floor;
   std::set<ServerAddress> failed;
+  /** Whether an earlier attempt may have run is part of it. */
+  RequestKind kind{ true, true, false };
 };
 
 } // namespace mustardshift
--- a/packages/daemon/request/RequestProcessor.cpp
+++ b/packages/daemon/request/RequestProcessor.cpp
@@ -1,6 +1,7 @@
 #include "daemon/request/RequestProcessor.h"
 
 #include "adapters/clock/SystemBootClock.h"
+#include "daemon/request/DatabaseFrames.h"
 #include "daemon/request/ReadFlow.h"
 #include "daemon/request/WriteFlow.h"
 
@@ -189,11 +190,12 @@
   }
 }
 
-void RequestProcessor::AdmitWaiting(Instant /*aNow*/,
+void RequestProcessor::AdmitWaiting(Instant aNow,
                                     const OrganisationName& aOrganisation,
                                     const Admission& aAdmission,
                                     const std::function<void(Instant, Outcome<void>)>& aCallback)
 {
+  this->waitObserver(aNow, aOrganisation);
   this->loop.Schedule(aAdmission.waitUntil,
                       [this, aOrganisation, aAdmission, aCallback](Instant aLater) {
                         const Outcome<Admission> admission =
@@ -212,10 +214,11 @@
                                          OrganisationName aOrganisation,
                                          ReplyCallback aReply)
 {
-  ++this->running;
-  return [this, aNow, organisation = std::move(aOrganisation), reply = std::move(aReply)](
-           const Outcome<CallerAnswer>& aAnswer) {
-    --this->running;
+  return [this,
+          aNow,
+          organisation = std::move(aOrganisation),
+          reply =
+            this->Counted<CallerAnswer>(std::move(aReply))](const Outcome<CallerAnswer>& aAnswer) {
     this->observer(
       organisation, aAnswer, std::chrono::duration_cast<Duration>(SystemBootClock{}.Now() - aNow));
     reply(aAnswer);
@@ -271,10 +274,12 @@
     reply(
       CallerAnswer{ aResult->rows, this->EncodeToken(std::move(seen)), aResult->servedByReplica });
   };
-  if (aRequest.isReadOnly) {
+  CallerRequest request = aRequest;
+  request.requestId = ScopedRequestId(aAuthenticated.organisation, aRequest.requestId);
+  if (request.isReadOnly) {
     std::make_shared<ReadFlow>(this->loop,
                                aAuthenticated.dispatcher,
-                               aRequest,
+                               request,
                                queueName,
                                aAuthenticated.token,
                                aAuthenticated.route.freshness,
@@ -282,7 +287,7 @@
       ->Start(aNow);
     return;
   }
-  std::make_shared<WriteFlow>(this->loop, aAuthenticated.dispatcher, aRequest, queueName, finish)
+  std::make_shared<WriteFlow>(this->loop, aAuthenticated.dispatcher, request, queueName, finish)
     ->Start(aNow);
 }
 
--- a/packages/daemon/request/ServerPool.cpp
+++ b/packages/daemon/request/ServerPool.cpp
@@ -18,6 +18,7 @@
                        std::string aUserAgent,
                        std::function<void(Instant)> aOnAvailable)
   : loop(aLoop)
+  , handle(aLoop.GetHandle())
   , server(std::move(aServer))
   , userAgent(std::move(aUserAgent))
   , onAvailable(std::move(aOnAvailable))
@@ -32,12 +33,15 @@
 void ServerPool::SetEntitlement(unsigned aConnections)
 {
   this->entitlement = aConnections;
+  this->DropUnusable();
+  std::size_t open = this->connections.size();
   for (Slot& slot : this->connections) {
-    if (this->connections.size() <= this->entitlement) {
+    if (open <= this->entitlement) {
       break;
     }
     if (!slot.isBusy) {
       slot.connection->Close();
+      --open;
     }
   }
   this->DropUnusable();
@@ -118,7 +122,8 @@
     aConnection->Close();
   }
   this->DropUnusable();
-  this->loop.Post([weak = this->weak_from_this()](Instant aNow) {
+  // A lease may end with a task that outlives the loop.
+  this->handle.Post([weak = this->weak_from_this()](Instant aNow) {
     if (const auto self = weak.lock()) {
       self->onAvailable(aNow);
     }
--- a/packages/daemon/request/TransactionTable.cpp
+++ b/packages/daemon/request/TransactionTable.cpp
@@ -55,6 +55,7 @@
 
 void TransactionTable::Begin(Instant aNow, CallerRequest aRequest, BeginCallback aReply)
 {
+  aReply = this->processor.Counted<TransactionId>(std::move(aReply));
   Outcome<AuthenticatedRequest> context =
     this->processor.Authenticate(aNow, aRequest, WorkKind::New);
   if (!context) {
@@ -167,6 +168,7 @@
                                const CallerRequest& aRequest,
                                ReplyCallback aReply)
 {
+  aReply = this->processor.Counted<CallerAnswer>(std::move(aReply));
   const Outcome<TransactionPointer> transaction = this->Find(aNow, aId, aRequest);
   if (!transaction) {
     aReply(tl::unexpected<Refusal>(transaction.error()));
@@ -223,7 +225,7 @@
   }
   const FlowResult result = ResultOf(*aAnswer);
   if (result.rows.empty()) {
-    aReply(CallerAnswer{});
+    aReply(CallerAnswer{ {}, this->processor.EncodeToken(aTransaction->context.token), false });
     return;
   }
   // What the client reads may hold others' writes that are not yet on a majority.
@@ -231,9 +233,9 @@
   aTransaction->context.dispatcher->ConfirmMajority(
     aNow,
     result.position,
+    std::nullopt,
     aDeadline,
-    [this, aTransaction, rows = result.rows, aReply](Instant /*aLater*/,
-                                                     const Outcome<void>& aConfirmed) {
+    [this, aTransaction, result, aReply](Instant /*aLater*/, const Outcome<void>& aConfirmed) {
       aTransaction->isBusy = false;
       if (!aConfirmed) {
         this->Remove(aTransaction, true);
@@ -241,7 +243,10 @@
                             "the data read is not on a majority; the transaction is rolled back"));
         return;
       }
-      aReply(CallerAnswer{ rows, "", false });
+      // The session has seen this state, whatever becomes of the transaction.
+      SessionToken& token = aTransaction->context.token;
+      token.ObserveRead(aTransaction->context.route.database, result.position);
+      aReply(CallerAnswer{ result.rows, this->processor.EncodeToken(token), false });
     });
 }
 
@@ -250,6 +255,7 @@
                               const CallerRequest& aRequest,
                               ReplyCallback aReply)
 {
+  aReply = this->processor.Counted<CallerAnswer>(std::move(aReply));
   const Outcome<TransactionPointer> transaction = this->Find(aNow, aId, aRequest);
   if (!transaction) {
     aReply(tl::unexpected<Refusal>(transaction.error()));
@@ -263,14 +269,17 @@
   (*transaction)->isEnding = true;
   database::v1::Request frame;
   frame.set_term((*transaction)->term);
-  frame.mutable_commit()->set_request_id(aRequest.requestId.Text());
+  CallerRequest scoped = aRequest;
+  scoped.requestId = ScopedRequestId((*transaction)->context.organisation, aRequest.requestId);
+  frame.mutable_commit()->set_request_id(scoped.requestId.Text());
   (*transaction)
-    ->lease->Send(std::move(frame),
-                  aRequest.deadline - aNow,
-                  [this, open = *transaction, request = aRequest, reply = std::move(aReply)](
-                    Instant aLater, const Outcome<database::v1::Answer>& aAnswer) {
-                    this->OnCommitAnswer(aLater, open, request, aAnswer, reply);
-                  });
+    ->lease->Send(
+      std::move(frame),
+      aRequest.deadline - aNow,
+      [this, open = *transaction, request = std::move(scoped), reply = std::move(aReply)](
+        Instant aLater, const Outcome<database::v1::Answer>& aAnswer) {
+        this->OnCommitAnswer(aLater, open, request, aAnswer, reply);
+      });
 }
 
 void TransactionTable::OnCommitAnswer(Instant aNow,
@@ -290,6 +299,14 @@
     this->ResolveCommit(aNow, aTransaction, aRequest, aReply);
     return;
   }
+  const bool saysNotRun = aAnswer->status() == database::v1::ANSWER_STATUS_CONFLICT ||
+                          aAnswer->status() == database::v1::ANSWER_STATUS_WRONG_TERM ||
+                          aAnswer->status() == database::v1::ANSWER_STATUS_INVALID;
+  if (!isClean && !saysNotRun) {
+    // An answer that does not say what happened proves nothing.
+    this->ResolveCommit(aNow, aTransaction, aRequest, aReply);
+    return;
+  }
   if (!isClean) {
     const Reason reason = aAnswer->status() == database::v1::ANSWER_STATUS_CONFLICT
                             ? Reason::TransactionConflict
@@ -301,6 +318,7 @@
   aTransaction->context.dispatcher->ConfirmMajority(
     aNow,
     result.position,
+    std::nullopt,
     aRequest.deadline,
     [this, aTransaction, aRequest, result, aReply](Instant aLater,
                                                    const Outcome<void>& aConfirmed) {
@@ -349,6 +367,7 @@
                                 const CallerRequest& aRequest,
                                 ReplyCallback aReply)
 {
+  aReply = this->processor.Counted<CallerAnswer>(std::move(aReply));
   const Outcome<TransactionPointer> transaction = this->Find(aNow, aId, aRequest);
   if (!transaction) {
     aReply(tl::unexpected<Refusal>(transaction.error()));
@@ -360,16 +379,16 @@
   frame.set_term((*transaction)->term);
   frame.mutable_rollback();
   (*transaction)
-    ->lease->Send(std::move(frame),
-                  aRequest.deadline - aNow,
-                  [this, open = *transaction, reply = std::move(aReply)](
-                    Instant /*aLater*/, const Outcome<database::v1::Answer>& aAnswer) {
-                    // Without a clean answer the closed connection makes the server roll back.
-                    const bool isClean =
-                      aAnswer && aAnswer->status() == database::v1::ANSWER_STATUS_OK;
-                    this->Remove(open, !isClean);
-                    reply(CallerAnswer{});
-                  });
+    ->lease->Send(
+      std::move(frame),
+      aRequest.deadline - aNow,
+      [this, open = *transaction, reply = std::move(aReply)](
+        Instant /*aLater*/, const Outcome<database::v1::Answer>& aAnswer) {
+        // Without a clean answer the closed connection makes the server roll back.
+        const bool isClean = aAnswer && aAnswer->status() == database::v1::ANSWER_STATUS_OK;
+        this->Remove(open, !isClean);
+        reply(CallerAnswer{ {}, this->processor.EncodeToken(open->context.token), false });
+      });
 }
 
 void TransactionTable::OnTimeout(const TransactionPointer& aTransaction)
