--- a/packages/daemon/tests/RequestFixture.h
+++ b/packages/daemon/tests/RequestFixture.h
@@ -103,7 +103,9 @@
     for (std::size_t round = 0; round < 2; ++round) {
       auto answers = std::make_shared<std::atomic<int>>(0);
       this->OnLoop([&](Instant aNow) {
-        this->dispatcher->Probe(aNow, [answers](Instant, const auto&, const auto&) { ++*answers; });
+        this->dispatcher->Probe(aNow,
+                                ProbeScope::AllServers,
+                                [answers](Instant, const auto&, const auto&) { ++*answers; });
       });
       CPPUNIT_ASSERT(Eventually([&] { return *answers == 3; }));
       this->OnLoop([](Instant) {});
