Stop the request loop from serving an expired queue without end

Cause: a queue whose operations had all expired still counted as non-empty; the connection taken for them was returned at once, which pumped again from a deferred task, and deferred tasks ran before timers, so that neither timers nor other threads' tasks were served any more. gdb showed daemon_test in this loop; one hang of AcknowledgedWriteTest is likely the same. Change: FairQueue::HasWaiting decides, and deferred tasks run in bounded batches beside timers and the ring. Waits for this VM's own refill stay exact, and tokens that peers may have count only for the part that this VM does not hold.

--- a/packages/core/queueing/FairQueue.h
+++ b/packages/core/queueing/FairQueue.h
@@ -111,6 +111,13 @@
     }
   }
 
+  /** Tells whether Pop(aNow) would return an item. */
+  bool HasWaiting(Instant aNow)
+  {
+    this->SetExpiredApart(aNow);
+    return !this->turns.empty();
+  }
+
   /** Takes all items whose deadline is aNow or earlier; the caller refuses them with
       DeadlineExceeded, NotRun. */
   std::vector<Item> TakeExpired(Instant aNow)
--- a/packages/core/rate/OrganisationQuota.cpp
+++ b/packages/core/rate/OrganisationQuota.cpp
@@ -33,6 +33,8 @@
 constexpr Duration kLongestRefusalPause = milliseconds(4000);
 /** Waiting requests look for tokens at least this often, since a loan can bring some any time. */
 constexpr Duration kWaitStep = milliseconds(5);
+/** A wait for this VM's own refill that is shorter is not interrupted. */
+constexpr Duration kLongestExactWait = milliseconds(25);
 /** No wait is shorter, so that rounding can't make a caller spin. */
 constexpr Duration kShortestWait = milliseconds(1);
 /** A request that asks late at the end of its wait still keeps its place. */
@@ -118,8 +120,8 @@
   // Loans can raise this VM's rate up to the whole rate, but not higher.
   const double bestRate = this->unitsInForce < kQuotaUnitsTotal ? this->rate : this->bucket.Rate();
   const double boundSeconds = std::chrono::duration<double>(kAdmissionWaitBound).count();
-  // Peers may have the whole burst waiting.
-  if (ahead + 1 - this->AvailableTokens() > bestRate * boundSeconds + this->burst) {
+  const double atPeers = this->CapacityOf(kQuotaUnitsTotal - this->unitsInForce);
+  if (ahead + 1 - this->AvailableTokens() > bestRate * boundSeconds + atPeers) {
     return RefuseRate();
   }
   const std::uint64_t ticket = this->firstTicket + this->waiting.size();
@@ -534,7 +536,7 @@
   const double missing =
     static_cast<double>(aTicket - this->firstTicket) + 1 - this->bucket.Tokens();
   const double seconds = this->bucket.Rate() > 0 ? missing / this->bucket.Rate() : 1.0;
-  if (seconds < std::chrono::duration<double>(kWaitStep).count()) {
+  if (seconds < std::chrono::duration<double>(kLongestExactWait).count()) {
     next = aNow + Duration(static_cast<Duration::rep>(std::ceil(seconds * 1e6)) + 1);
   }
   next = std::min(std::max(next, aNow + kShortestWait), std::max(aUntil, aNow + kShortestWait));
--- a/packages/core/tests/FairQueueTest.cpp
+++ b/packages/core/tests/FairQueueTest.cpp
@@ -182,7 +182,11 @@
     CPPUNIT_ASSERT(queue.Push(kLarge, 1, kStart + seconds(1)).has_value());
     CPPUNIT_ASSERT(queue.Push(kLarge, 2, kStart + seconds(5)).has_value());
     CPPUNIT_ASSERT(*queue.NextDeadline() == kStart + seconds(1));
+    CPPUNIT_ASSERT(queue.HasWaiting(kStart + seconds(1)));
     CPPUNIT_ASSERT_EQUAL(2, *queue.Pop(kStart + seconds(1)));
+    // An expired item still counts in size(), but nothing can be popped.
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, queue.size());
+    CPPUNIT_ASSERT(!queue.HasWaiting(kStart + seconds(1)));
     const std::vector<int> expired = queue.TakeExpired(kStart + seconds(1));
     CPPUNIT_ASSERT(expired == std::vector<int>{ 1 });
     CPPUNIT_ASSERT(queue.TakeExpired(kStart + seconds(100)).empty());
--- a/packages/daemon/loop/EventLoop.cpp
+++ b/packages/daemon/loop/EventLoop.cpp
@@ -115,7 +115,9 @@
 
 void EventLoop::RunDeferred()
 {
-  while (!this->inbox->deferred.empty()) {
+  // Tasks that come up meanwhile run after the timers that are due, so that tasks which post tasks
+  // can't starve them.
+  for (std::size_t left = this->inbox->deferred.size(); left > 0; --left) {
     const Task task = std::move(this->inbox->deferred.front());
     this->inbox->deferred.pop_front();
     task(SystemBootClock{}.Now());
@@ -132,11 +134,14 @@
     if (!this->timers.empty()) {
       wait = std::clamp(this->timers.begin()->first.first - now, Duration{ 0 }, kLongestWait);
     }
+    if (!this->inbox->deferred.empty()) {
+      wait = Duration{ 0 };
+    }
     const std::optional<Task> task = this->inbox->ring.PopFor(wait);
     if (task) {
       (*task)(SystemBootClock{}.Now());
-      this->RunDeferred();
     }
+    this->RunDeferred();
   }
 }
 
--- a/packages/daemon/request/DatabaseDispatcher.cpp
+++ b/packages/daemon/request/DatabaseDispatcher.cpp
@@ -257,7 +257,9 @@
   const bool leads = aServer == this->primary.server;
   // Work that was queued for a server as a replica is done by it as the primary just as well.
   for (Queue* queue : { leads ? &this->primaryQueue : &server.queue, &server.queue }) {
-    while (queue->size() > 0) {
+    // A connection taken for operations that have all expired would be returned at once, which
+    // pumps again, without end.
+    while (queue->HasWaiting(aNow)) {
       const std::shared_ptr<ConnectionLease> lease = server.pool->TryAcquire(aNow);
       if (!lease) {
         return;
--- /dev/null
+++ b/packages/daemon/tests/EventLoopTest.cpp
@@ -0,0 +1,43 @@
+#include "daemon/loop/EventLoop.h"
+#include "support/Section.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <functional>
+#include <future>
+
+namespace mustardshift {
+
+using test::Section;
+
+/** Guards against tasks that post further tasks from the loop's thread and so keep timers and other
+    threads' tasks from running: a daemon in this state looks alive and serves nobody. */
+class EventLoopTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(EventLoopTest);
+  CPPUNIT_TEST(ServesTimersAndOthersBesideTasksThatRepeat);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void ServesTimersAndOthersBesideTasksThatRepeat()
+  {
+    EventLoop loop(16);
+    std::promise<void> timerFired;
+    const std::function<void(Instant)> repeat = [&](Instant) { loop.Post(repeat); };
+    loop.Start();
+    loop.PostAndWait([&](Instant aNow) {
+      loop.Schedule(aNow + std::chrono::milliseconds(20), [&](Instant) { timerFired.set_value(); });
+      loop.Post(repeat);
+    });
+    Section("a timer fires", [&] {
+      CPPUNIT_ASSERT(timerFired.get_future().wait_for(std::chrono::seconds(60)) ==
+                     std::future_status::ready);
+    });
+    Section("a task of another thread runs",
+            [&] { CPPUNIT_ASSERT(loop.PostAndWait([](Instant) {})); });
+    loop.Stop();
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(EventLoopTest);
+
+} // namespace mustardshift
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -8,7 +8,7 @@
 build=${BUILD_DIR:-build}
 log="$build/tests.log"
 status=0
-ctest --test-dir "$build" --verbose >"$log" 2>&1 || status=$?
+ctest --test-dir "$build" -j "${TEST_JOBS:-3}" --verbose >"$log" 2>&1 || status=$?
 grep -E 'FAILED|known red|in: |precondition failed|\*\*\*' "$log" || true
 [ "$status" -eq 0 ] || tail -n 60 "$log"
 counts=$(grep -oE 'tests: [0-9]+ passed, [0-9]+ failed, [0-9]+ skipped' "$log" || true)
