Decide by the deadlines whether a fair queue has something to pop

Cause: an organisation's line stays in the queue for a while after its last item was popped, so that neither turns nor lines tell whether an item waits. Change: HasWaiting looks at the deadlines, which list exactly the live items. Measured: SetsExpiredItemsApart failed on both other ways and passes now.

--- a/packages/core/queueing/FairQueue.h
+++ b/packages/core/queueing/FairQueue.h
@@ -115,7 +115,7 @@
   bool HasWaiting(Instant aNow)
   {
     this->SetExpiredApart(aNow);
-    return !this->turns.empty();
+    return !this->deadlines.empty();
   }
 
   /** Takes all items whose deadline is aNow or earlier; the caller refuses them with
