Name two constants as the linter asks

Cause: clang-tidy found two static constants without their prefix. Change: the names. Measured: scripts/check.sh had these two findings and no others; the formatter is clean. Conclusion: done.

--- a/packages/adapters/timer/DeadlineTimer.cpp
+++ b/packages/adapters/timer/DeadlineTimer.cpp
@@ -51,8 +51,8 @@
 DeadlineTimer& DeadlineTimer::Shared()
 {
   // Never destroyed, so that connections closed while the process exits can still use it.
-  static auto* const timer = new DeadlineTimer();
-  return *timer;
+  static auto* const kTimer = new DeadlineTimer();
+  return *kTimer;
 }
 
 void DeadlineTimer::Run()
--- a/tests/standins/database/Statement.cpp
+++ b/tests/standins/database/Statement.cpp
@@ -42,7 +42,7 @@
                                         const std::vector<std::string>& aParameters)
 {
   using Kind = Statement::Kind;
-  static const std::map<std::string, std::pair<Kind, std::size_t>> kinds{
+  static const std::map<std::string, std::pair<Kind, std::size_t>> kKinds{
     { "PUT", { Kind::Put, 3 } },       { "GET", { Kind::Get, 2 } }, { "SCAN", { Kind::Scan, 2 } },
     { "INSERT", { Kind::Insert, 3 } }, { "ADD", { Kind::Add, 3 } },
   };
@@ -57,8 +57,8 @@
   if (!words || words->empty()) {
     return std::nullopt;
   }
-  const auto found = kinds.find(words->front());
-  if (found == kinds.end()) {
+  const auto found = kKinds.find(words->front());
+  if (found == kKinds.end()) {
     return std::nullopt;
   }
   const auto [kind, wordCount] = found->second;
