Make random hexadecimal text in one place

Cause: the daemon's transaction ids and token secrets were made by the same lines twice, and ServerPool::Open took an instant that it did not use. Change: RandomHexadecimal serves both; the parameter is gone. Behaviour is the same.

--- a/packages/daemon/request/ServerPool.cpp
+++ b/packages/daemon/request/ServerPool.cpp
@@ -59,7 +59,7 @@
   if (this->connections.size() >= this->entitlement || this->IsBackingOff(aNow)) {
     return nullptr;
   }
-  return std::make_shared<ConnectionLease>(this->weak_from_this(), this->Open(aNow, true));
+  return std::make_shared<ConnectionLease>(this->weak_from_this(), this->Open(true));
 }
 
 void ServerPool::SendShared(Instant aNow,
@@ -72,7 +72,7 @@
   if (!this->connections.empty()) {
     connection = this->connections.front().connection;
   } else if (this->entitlement > 0 && !this->IsBackingOff(aNow)) {
-    connection = this->Open(aNow, false);
+    connection = this->Open(false);
   }
   if (!connection) {
     this->loop.Post([callback = std::move(aCallback)](Instant aLater) {
@@ -93,7 +93,7 @@
   if (hasIdle || this->connections.size() >= this->entitlement || this->IsBackingOff(aNow)) {
     return;
   }
-  this->Open(aNow, false);
+  this->Open(false);
 }
 
 void ServerPool::CloseAll()
@@ -130,7 +130,7 @@
   });
 }
 
-std::shared_ptr<ServerConnection> ServerPool::Open(Instant /*aNow*/, bool aIsBusy)
+std::shared_ptr<ServerConnection> ServerPool::Open(bool aIsBusy)
 {
   auto connection =
     std::make_shared<ServerConnection>(this->loop,
--- a/packages/daemon/request/ServerPool.h
+++ b/packages/daemon/request/ServerPool.h
@@ -62,7 +62,7 @@
   };
 
   void Return(const std::shared_ptr<ServerConnection>& aConnection);
-  std::shared_ptr<ServerConnection> Open(Instant aNow, bool aIsBusy);
+  std::shared_ptr<ServerConnection> Open(bool aIsBusy);
   void DropUnusable();
   void OnOpened(Instant aNow, bool aOpened);
 
--- a/packages/daemon/request/TransactionTable.cpp
+++ b/packages/daemon/request/TransactionTable.cpp
@@ -3,10 +3,9 @@
 #include "core/base/VerdictTable.h"
 #include "daemon/request/DatabaseFrames.h"
 #include "daemon/request/LostAnswerResolver.h"
+#include "daemon/request/RandomHexadecimal.h"
 
 #include <algorithm>
-#include <array>
-#include <openssl/rand.h>
 #include <utility>
 
 namespace mustardshift {
@@ -18,15 +17,7 @@
 
 TransactionId MakeTransactionId()
 {
-  std::array<unsigned char, kIdBytes> bytes{};
-  MUSTARDSHIFT_ASSERT(RAND_bytes(bytes.data(), static_cast<int>(bytes.size())) == 1);
-  static constexpr std::string_view kDigits = "0123456789abcdef";
-  std::string text;
-  for (const unsigned char byte : bytes) {
-    text += kDigits[byte >> 4U];
-    text += kDigits[byte & 0xFU];
-  }
-  return TransactionId(text);
+  return TransactionId(RandomHexadecimal(kIdBytes));
 }
 
 } // namespace
--- a/packages/daemon/service/OperatorService.cpp
+++ b/packages/daemon/service/OperatorService.cpp
@@ -3,9 +3,8 @@
 #include "adapters/schema/SchemaReader.h"
 #include "adapters/schema/SchemaWriter.h"
 #include "daemon/Daemon.h"
+#include "daemon/request/RandomHexadecimal.h"
 
-#include <array>
-#include <openssl/rand.h>
 #include <thread>
 #include <utility>
 
@@ -35,19 +34,6 @@
   return operators::v1::CHANGE_RESULT_UNKNOWN;
 }
 
-std::string MakeTokenSecret()
-{
-  std::array<unsigned char, kSecretBytes> bytes{};
-  MUSTARDSHIFT_ASSERT(RAND_bytes(bytes.data(), static_cast<int>(bytes.size())) == 1);
-  static constexpr std::string_view kDigits = "0123456789abcdef";
-  std::string text;
-  for (const unsigned char byte : bytes) {
-    text += kDigits[byte >> 4U];
-    text += kDigits[byte & 0xFU];
-  }
-  return text;
-}
-
 std::string JoinErrors(const InputErrors& aErrors)
 {
   std::string text;
@@ -122,7 +108,7 @@
   this->Change(ReplaceSchema{ std::move(schema->organisations),
                               std::move(schema->routes),
                               std::move(schema->databases),
-                              MakeTokenSecret() },
+                              RandomHexadecimal(kSecretBytes) },
                aRequest->base_version(),
                aRequest->operation_id(),
                *aResponse);
