Give broken connections back to their holders; place reads by load and price of opening

Cause: a connection that broke in a transaction's pause was freed while the session held it (exit code 139). ClientSessionTest ConnectionsThatBreakInAPauseAbortTheTransaction crashed before. Reads went to the primary whenever it had the organisation's idle connection.

--- a/packages/proxy/SessionProxy.h
+++ b/packages/proxy/SessionProxy.h
@@ -15,8 +15,8 @@
 #include "proxy/rate/OrganisationBuckets.h"
 #include "proxy/schedule/Scheduler.h"
 #include "proxy/session/ClientSession.h"
-#include "proxy/session/LaggingReplicas.h"
 #include "proxy/session/PositionTable.h"
+#include "proxy/session/ReplicaPositions.h"
 #include "proxy/session/SessionContext.h"
 
 #include <algorithm>
@@ -91,8 +91,9 @@
               std::string(Decoder::kServerTable),
               this->settings.serverWatch,
               this->ServerHandlers())
-    , context{ this->cluster, this->pool, this->health, this->positions,        this->lagging,
-               this->buckets, aScheduler, aLog,         this->settings.timings, std::move(aCount) }
+    , context{ this->cluster,          this->pool,       this->health, this->positions,
+               this->replicaPositions, this->buckets,    aScheduler,   aLog,
+               this->settings.timings, std::move(aCount) }
   {
   }
   SessionProxy(const SessionProxy&) = delete;
@@ -278,7 +279,7 @@
   ClusterState cluster;
   ServerHealth health;
   PositionTable positions;
-  LaggingReplicas lagging;
+  ReplicaPositions replicaPositions;
   OrganisationBuckets buckets;
   FleetView fleet;
   ServerPool<Network> pool;
--- a/packages/proxy/pool/PooledConnection.h
+++ b/packages/proxy/pool/PooledConnection.h
@@ -30,6 +30,8 @@
   /** Names of statements that are prepared on this connection. */
   std::set<std::string> prepared;
   bool isBusy = false;
+  /** The link broke while somebody held the connection and ran no command. */
+  bool isBroken = false;
   Instant idleSince{};
 };
 
--- a/packages/proxy/pool/ServerPool.h
+++ b/packages/proxy/pool/ServerPool.h
@@ -12,6 +12,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <limits>
 #include <list>
 #include <map>
 #include <memory>
@@ -167,8 +168,9 @@
     Ticket ticket = 0;
     Request request;
     Scheduler::TaskId expiry{};
-    /** A connection is being opened for this request. */
-    bool isOpening = false;
+    /** Set while a connection is being opened for this request: load of its server, with the price
+        of opening. An idle connection to a server with more load is not worth taking. */
+    std::optional<double> openScore = std::nullopt;
   };
   using Waiters = std::list<Waiter>;
   struct Server
@@ -199,7 +201,7 @@
   {
     const ServerRecord* record = this->cluster.Find(aConnection.server);
     const auto server = this->servers.find(aConnection.server);
-    return record != nullptr && server != this->servers.end() &&
+    return !aConnection.isBroken && record != nullptr && server != this->servers.end() &&
            server->second.connections.size() <= this->LimitOf(*record);
   }
 
@@ -255,7 +257,11 @@
       has been served. */
   bool TryServe(Instant aNow, typename Waiters::iterator aWaiter)
   {
-    if (Connection* connection = this->FindIdle(aWaiter->request)) {
+    const auto [connection, idleScore] = this->FindIdle(aWaiter->request);
+    if (!aWaiter->openScore) {
+      this->TryOpen(aNow, *aWaiter, connection == nullptr ? kNoScore : idleScore);
+    }
+    if (connection != nullptr && (!aWaiter->openScore || idleScore <= *aWaiter->openScore)) {
       connection->isBusy = true;
       this->scheduler.Cancel(aWaiter->expiry);
       const Request request = std::move(aWaiter->request);
@@ -263,13 +269,11 @@
       request.handler(aNow, connection);
       return true;
     }
-    if (!aWaiter->isOpening) {
-      this->TryOpen(aNow, *aWaiter);
-    }
     return false;
   }
 
-  Connection* FindIdle(const Request& aRequest)
+  /** The idle connection of the organisation at the least loaded candidate, and its load. */
+  std::pair<Connection*, double> FindIdle(const Request& aRequest)
   {
     Connection* best = nullptr;
     double bestScore = 0;
@@ -291,12 +295,12 @@
         }
       }
     }
-    return best;
+    return { best, bestScore };
   }
 
   /** Opens a connection at the least loaded candidate that has a place, or has a place that an idle
-      connection of another organisation takes up. */
-  void TryOpen(Instant aNow, Waiter& aWaiter)
+      connection of another organisation takes up; unless its load exceeds aLimit. */
+  void TryOpen(Instant aNow, Waiter& aWaiter, double aLimit)
   {
     const ServerRecord* best = nullptr;
     double bestScore = 0;
@@ -311,15 +315,17 @@
         continue;
       }
       // Opening at a free place costs less than closing a connection that may be needed again.
-      const double score = this->ScoreOf(candidate, *record) + (hasPlace ? 0 : kReplacePenalty);
+      const double score =
+        this->ScoreOf(candidate, *record) + (hasPlace ? kOpenPenalty : kReplacePenalty);
       if (best == nullptr || score < bestScore) {
         best = record;
         bestScore = score;
       }
     }
-    if (best == nullptr) {
+    if (best == nullptr || bestScore >= aLimit) {
       return;
     }
+    aWaiter.openScore = bestScore;
     Server& server = this->servers[best->id];
     if (server.connections.size() + server.opening >= this->LimitOf(*best)) {
       this->Remove(FindOldestIdle(server));
@@ -340,7 +346,6 @@
 
   void Open(Instant aNow, Waiter& aWaiter, const ServerRecord& aServer)
   {
-    aWaiter.isOpening = true;
     ++this->servers[aServer.id].opening;
     ++this->opened;
     const ConnectTarget target{
@@ -365,7 +370,7 @@
     --server.opening;
     const auto waiter = this->FindWaiter(aTicket);
     if (waiter != this->waiters.end()) {
-      waiter->isOpening = false;
+      waiter->openScore.reset();
     }
     if (aReply.status == ReplyStatus::Done && aLink != nullptr) {
       this->health.NoteAnswer(aTarget.server, aNow);
@@ -386,15 +391,23 @@
     connection->link = std::move(aLink);
     connection->idleSince = aNow;
     Connection* added = connection.get();
-    added->link->OnLost([this, added](Instant aThen) {
-      this->log.Write(
-        aThen, "pool", "idle-connection-lost", { { "server", added->server.Text() } });
-      this->health.NoteFailure(added->server, aThen);
-      this->Remove(added);
-    });
+    added->link->OnLost([this, added](Instant aThen) { this->OnLinkLost(aThen, added); });
     this->servers[aTarget.server].connections.push_back(std::move(connection));
   }
 
+  /** A connection broke while no command ran on it. */
+  void OnLinkLost(Instant aNow, Connection* aConnection)
+  {
+    this->log.Write(aNow, "pool", "connection-lost", { { "server", aConnection->server.Text() } });
+    this->health.NoteFailure(aConnection->server, aNow);
+    if (aConnection->isBusy) {
+      // A transaction in its client's pause; whoever holds the connection gives it back.
+      aConnection->isBroken = true;
+    } else {
+      this->Remove(aConnection);
+    }
+  }
+
   void NoteRefused(Instant aNow,
                    const ConnectTarget& aTarget,
                    Instant aStartedAt,
@@ -422,8 +435,11 @@
                              [this](Instant aThen) { this->ServeWaiters(aThen); });
   }
 
-  /** Extra load at which closing another organisation's idle connection is worth its price. */
-  static constexpr double kReplacePenalty = 0.5;
+  /** Load, in statements per slot, that opening a connection is worth avoiding: it takes as long as
+      a statement. Closing another organisation's idle connection for it costs that one as well. */
+  static constexpr double kOpenPenalty = 0.7;
+  static constexpr double kReplacePenalty = 1.2;
+  static constexpr double kNoScore = std::numeric_limits<double>::infinity();
 
   Network& network;
   ClusterState& cluster;
--- a/packages/proxy/session/ClientSession.h
+++ b/packages/proxy/session/ClientSession.h
@@ -181,8 +181,6 @@
     typename ServerPool<Network>::Ticket ticket = 0;
     /** A script is under way on `connection`. */
     bool isRunning = false;
-    /** The statement itself may have reached a server. */
-    bool wasOffered = false;
     std::optional<Scheduler::TaskId> deadlineTimer;
     std::optional<Scheduler::TaskId> retryTimer;
     std::optional<Scheduler::TaskId> silenceTimer;
@@ -316,6 +314,12 @@
         }
       });
     if (this->transaction == Transaction::Open) {
+      if (this->connection->isBroken) {
+        // Nothing of this statement was sent, so the rollback is certain even for a commit.
+        this->DropConnection(aNow);
+        this->FailTransaction(aNow, ErrorCode::Aborted, "the server connection was lost");
+        return;
+      }
       this->flight->path = Path::Pinned;
       this->RunStatement(aNow);
       return;
@@ -386,7 +390,8 @@
   {
     const bool isPlainTransaction = this->transaction == Transaction::Pending && !this->isReadOnly;
     const bool isWrite = this->IsWrite() || isPlainTransaction;
-    if (!isWrite && this->route.consistency != ReadConsistency::Primary) {
+    if (!isWrite && this->route.consistency != ReadConsistency::Primary &&
+        this->flight->excluded.size() < kMostReplicasTried) {
       std::vector<ConnectionCandidate> candidates = this->ChooseReplicas(aNow);
       if (!candidates.empty()) {
         this->flight->path = Path::Position;
@@ -402,8 +407,7 @@
   std::vector<ConnectionCandidate> ChoosePrimary(Instant aNow) const
   {
     const std::optional<ServerId> primary = this->context.cluster.PrimaryOf(this->route.group);
-    if (!primary || this->flight->excluded.contains(*primary) ||
-        this->context.health.IsUnreachable(*primary, aNow)) {
+    if (!primary || this->context.health.IsUnreachable(*primary, aNow)) {
       return {};
     }
     const std::optional<Instant> leaving = this->context.cluster.LeavingSince(*primary);
@@ -413,6 +417,10 @@
     return { { *primary, 0 } };
   }
 
+  /** Servers that are tried for a position before the primary is asked, which has every position.
+   */
+  static constexpr std::size_t kMostReplicasTried = 2;
+
   /** Load that the primary has from writes and checked reads, in statements per slot. */
   static constexpr double kPrimaryPenalty = 1.0;
 
@@ -436,7 +444,7 @@
     std::vector<ConnectionCandidate> candidates;
     for (const ServerId& id : this->context.cluster.ReadyServers(this->route.group)) {
       if (this->flight->excluded.contains(id) || this->context.health.IsUnreachable(id, aNow) ||
-          this->context.laggingReplicas.Contains(id, aNow)) {
+          this->context.replicaPositions.IsBehind(id, *floor, aNow)) {
         continue;
       }
       candidates.push_back({ id, primary == id ? kPrimaryPenalty : 0 });
@@ -611,6 +619,9 @@
       this->context.positions.Observe(
         this->route.group, aResult.beginSentAt, *aResult.beginPosition);
     }
+    if (aResult.reply.position) {
+      this->context.replicaPositions.Note(this->connection->server, *aResult.reply.position, aNow);
+    }
     if (this->hasEnded) {
       this->FinishAfterEnd(aNow, aResult);
       return;
@@ -619,7 +630,6 @@
       this->OnSetupFailed(aNow, aResult);
       return;
     }
-    this->flight->wasOffered = true;
     switch (aResult.reply.status) {
       case ReplyStatus::Done:
         this->OnDone(aNow, aResult);
@@ -773,11 +783,9 @@
     switch (aError) {
       case ErrorCode::ReadOnly:
         this->context.cluster.NoteNotPrimary(aServer);
-        this->flight->excluded.insert(aServer);
         this->Retry(aNow, "not the primary", false);
         return;
       case ErrorCode::Lagging:
-        this->context.laggingReplicas.Add(aServer, aNow + this->context.timings.laggingPause);
         this->flight->excluded.insert(aServer);
         this->Retry(aNow, "replica lagging", false);
         return;
@@ -816,16 +824,6 @@
                               { "why", aWhy },
                               { "may_have_run", aMayHaveRun ? "yes" : "no" },
                               { "tries", std::to_string(this->flight->tries) } });
-    if (this->flight->path == Path::Position) {
-      // A position that no other server holds leads to the primary.
-      this->Dispatch(aNow);
-      return;
-    }
-    const std::optional<ServerId> primary = this->context.cluster.PrimaryOf(this->route.group);
-    if (!primary || this->flight->excluded.contains(*primary)) {
-      this->Fail(aNow, ErrorCode::Busy, "the database has no reachable primary");
-      return;
-    }
     this->Dispatch(aNow);
   }
 
@@ -903,6 +901,10 @@
   void ReleaseConnection(Instant aNow, bool aHasTransaction)
   {
     Connection* released = std::exchange(this->connection, nullptr);
+    if (released->isBroken) {
+      this->context.pool.Discard(aNow, released);
+      return;
+    }
     if (!aHasTransaction) {
       this->context.pool.Release(aNow, released);
       return;
--- /dev/null
+++ b/packages/proxy/session/ReplicaPositions.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "core/base/Instant.h"
+#include "core/session/LogPosition.h"
+#include "proxy/cluster/ServerRecord.h"
+
+#include <map>
+
+namespace mustardshift::proxy {
+
+/** Log positions that servers gave with their answers, to leave out replicas that have just been
+    seen to lack the position that a read needs.
+
+    Thread safety: none; one thread owns the object. */
+class ReplicaPositions
+{
+public:
+  /** A position is taken as the present one for this long: about the lag of a healthy replica. */
+  static constexpr Duration kValidFor = std::chrono::milliseconds(30);
+
+  void Note(const ServerId& aId, LogPosition aPosition, Instant aNow)
+  {
+    this->entries[aId] = { aPosition, aNow };
+  }
+
+  /** Whether the server has lately been behind a position. */
+  bool IsBehind(const ServerId& aId, LogPosition aPosition, Instant aNow) const
+  {
+    const auto found = this->entries.find(aId);
+    return found != this->entries.end() && aNow - found->second.notedAt < kValidFor &&
+           found->second.position < aPosition;
+  }
+
+private:
+  struct Entry
+  {
+    LogPosition position;
+    Instant notedAt{};
+  };
+
+  std::map<ServerId, Entry> entries;
+};
+
+} // namespace mustardshift::proxy
--- a/packages/proxy/session/SessionContext.h
+++ b/packages/proxy/session/SessionContext.h
@@ -6,8 +6,8 @@
 #include "proxy/pool/ServerPool.h"
 #include "proxy/rate/OrganisationBuckets.h"
 #include "proxy/schedule/Scheduler.h"
-#include "proxy/session/LaggingReplicas.h"
 #include "proxy/session/PositionTable.h"
+#include "proxy/session/ReplicaPositions.h"
 #include "proxy/session/SessionTimings.h"
 #include "proxy/session/StatementOutcome.h"
 
@@ -25,7 +25,7 @@
   ServerPool<Network>& pool;
   ServerHealth& health;
   PositionTable& positions;
-  LaggingReplicas& laggingReplicas;
+  ReplicaPositions& replicaPositions;
   OrganisationBuckets& buckets;
   Scheduler& scheduler;
   EventLog& log;
--- a/packages/proxy/session/SessionTimings.h
+++ b/packages/proxy/session/SessionTimings.h
@@ -17,8 +17,6 @@
   Duration silentServer = std::chrono::milliseconds(250);
   /** Pause before a statement that the server was too busy for is sent again. */
   Duration busyPause = std::chrono::milliseconds(10);
-  /** A replica that lacked a position is left out for this long. */
-  Duration laggingPause = std::chrono::milliseconds(60);
   /** A leaving server that leads its group keeps its work for this long, until it is replaced. */
   Duration leavingPrimary = std::chrono::milliseconds(3500);
   /** Most attempts of one statement. */
--- /dev/null
+++ b/packages/proxy/tests/ClientSessionTest.cpp
@@ -0,0 +1,409 @@
+#include "proxy/tests/SessionFixture.h"
+#include "support/Section.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <chrono>
+
+namespace mustardshift::proxy {
+
+using mustardshift::test::Section;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using test::Conduct;
+using test::SessionFixture;
+
+/** Guards against sessions that read too old data, lose or double a write, mix with another
+    client's session, or promise something untrue. */
+class ClientSessionTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(ClientSessionTest);
+  CPPUNIT_TEST(ReadsOfPrimaryRoutesNeedTheLead);
+  CPPUNIT_TEST(BoundedReadsNameThePositionTheyNeed);
+  CPPUNIT_TEST(SessionsReadTheirOwnWrites);
+  CPPUNIT_TEST(PositionsOfAnEndedTermDontBlockReads);
+  CPPUNIT_TEST(LostAnswersAreNeverPromises);
+  CPPUNIT_TEST(TransactionsKeepTheirConnection);
+  CPPUNIT_TEST(ConnectionsThatBreakInAPauseAbortTheTransaction);
+  CPPUNIT_TEST(ValuesAndPreparedNamesStayApart);
+  CPPUNIT_TEST(OrganisationsDontShareConnections);
+  CPPUNIT_TEST(WithdrawnKeysStopOpenSessions);
+  CPPUNIT_TEST(UnconfirmedConfigurationsServePublicRoutesOnly);
+  CPPUNIT_TEST(ClientsThatLeaveHoldNothing);
+  CPPUNIT_TEST(HopelessStatementsAreRefusedAtOnce);
+  CPPUNIT_TEST(BusyServersAreAskedAgain);
+  CPPUNIT_TEST(IdleTransactionsAreRolledBack);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void ReadsOfPrimaryRoutesNeedTheLead()
+  {
+    SessionFixture fixture;
+    const auto session = fixture.Open("bookings");
+    Section("the primary answers", [&] {
+      const ClientReply reply = fixture.Run(*session, "READ slot-1");
+      CPPUNIT_ASSERT(!reply.error);
+      CPPUNIT_ASSERT_EQUAL(std::string("row of READ slot-1"), reply.rows.at(0));
+    });
+    Section("a server that has lost the lead, of which this VM has not heard, doesn't run it", [&] {
+      fixture.network.Promote("s2");
+      const std::size_t before = fixture.network.runs.size();
+      const ClientReply reply = fixture.Run(*session, "READ slot-1");
+      CPPUNIT_ASSERT(reply.error == ErrorCode::Busy);
+      CPPUNIT_ASSERT_EQUAL(before, fixture.network.runs.size());
+    });
+    Section("the new primary is asked once its entry says so", [&] {
+      fixture.Put("s2", ServerRole::Primary);
+      CPPUNIT_ASSERT(!fixture.Run(*session, "READ slot-1").error);
+      CPPUNIT_ASSERT_EQUAL(std::string("s2"), fixture.network.runs.back().server.Text());
+    });
+  }
+
+  void BoundedReadsNameThePositionTheyNeed()
+  {
+    SessionFixture fixture;
+    const auto writer = fixture.Open("bookings");
+    const auto board = fixture.Open("board");
+    CPPUNIT_ASSERT(!fixture.Run(*writer, "WRITE slot-1 uwase").error);
+    Section("replicas that lack a write of long ago are left out", [&] {
+      fixture.Advance(milliseconds(1450));
+      CPPUNIT_ASSERT(!fixture.Run(*writer, "READ slot-1").error);
+      fixture.Advance(milliseconds(100));
+      CPPUNIT_ASSERT(!fixture.Run(*board, "READ slot-1").error);
+      CPPUNIT_ASSERT_EQUAL(std::string("s1"), fixture.network.runs.back().server.Text());
+    });
+    Section("replicas that hold it serve the read", [&] {
+      fixture.network.Server("s2").position = { 1, 1 };
+      fixture.network.Server("s3").position = { 1, 1 };
+      fixture.Advance(milliseconds(100));
+      CPPUNIT_ASSERT(!fixture.Run(*board, "READ slot-1").error);
+      CPPUNIT_ASSERT(fixture.network.runs.back().server != ServerId("s1"));
+    });
+    Section("without a recent position of the primary the read needs the lead", [&] {
+      fixture.Advance(seconds(3));
+      fixture.Confirm();
+      fixture.network.Promote("s2");
+      const std::size_t before = fixture.network.runs.size();
+      CPPUNIT_ASSERT(fixture.Run(*board, "READ slot-1").error == ErrorCode::Busy);
+      CPPUNIT_ASSERT_EQUAL(before, fixture.network.runs.size());
+    });
+  }
+
+  void SessionsReadTheirOwnWrites()
+  {
+    SessionFixture fixture;
+    const auto session = fixture.Open("notes");
+    const auto other = fixture.Open("notes", "key-green");
+    CPPUNIT_ASSERT(!fixture.Run(*session, "READ note-1").error);
+    CPPUNIT_ASSERT(!fixture.Run(*session, "WRITE note-1 waist").error);
+    Section("the writer's read goes where the write is", [&] {
+      CPPUNIT_ASSERT(!fixture.Run(*session, "READ note-1").error);
+      CPPUNIT_ASSERT_EQUAL(std::string("s1"), fixture.network.runs.back().server.Text());
+    });
+    Section("another session may read an older replica within the bound", [&] {
+      CPPUNIT_ASSERT(!fixture.Run(*other, "READ note-1").error);
+      CPPUNIT_ASSERT(fixture.network.runs.back().server != ServerId("s1"));
+    });
+    Section("a replica that has caught up serves the writer too", [&] {
+      fixture.network.Server("s2").position = { 1, 1 };
+      fixture.Advance(milliseconds(200));
+      CPPUNIT_ASSERT(!fixture.Run(*session, "READ note-1").error);
+      CPPUNIT_ASSERT_EQUAL(std::string("s2"), fixture.network.runs.back().server.Text());
+    });
+  }
+
+  void PositionsOfAnEndedTermDontBlockReads()
+  {
+    SessionFixture fixture;
+    const auto session = fixture.Open("notes");
+    CPPUNIT_ASSERT(!fixture.Run(*session, "WRITE note-1 waist").error);
+    // The promoted replica lacks the write; position 1.1 will never be reached again.
+    fixture.network.Promote("s2");
+    fixture.Put("s1", ServerRole::Replica);
+    fixture.Put("s2", ServerRole::Primary);
+    const ClientReply reply = fixture.Run(*session, "READ note-1");
+    CPPUNIT_ASSERT(!reply.error);
+    CPPUNIT_ASSERT_EQUAL(std::string("s2"), fixture.network.runs.back().server.Text());
+  }
+
+  void LostAnswersAreNeverPromises()
+  {
+    SessionFixture fixture;
+    const auto session = fixture.Open("bookings");
+    auto& primary = fixture.network.Server("s1");
+    const auto loseWrites = [](Conduct aConduct) {
+      return [aConduct](const ServerCommand& aCommand) {
+        return aCommand.text.starts_with("WRITE") || aCommand.text == "COMMIT" ? aConduct
+                                                                               : Conduct::Answer;
+      };
+    };
+    Section("a write whose answer was lost is in doubt and is not repeated", [&] {
+      primary.conduct = loseWrites(Conduct::LoseAfterRun);
+      CPPUNIT_ASSERT(fixture.Run(*session, "WRITE slot-1 uwase").error == ErrorCode::InDoubt);
+      CPPUNIT_ASSERT_EQUAL(std::size_t(1), fixture.RunsOf("WRITE slot-1 uwase").size());
+    });
+    Section("so is one that did not run: nobody can tell", [&] {
+      primary.conduct = loseWrites(Conduct::LoseBeforeRun);
+      CPPUNIT_ASSERT(fixture.Run(*session, "WRITE slot-2 uwase").error == ErrorCode::InDoubt);
+    });
+    Section("and one that the server keeps silent about", [&] {
+      primary.conduct = loseWrites(Conduct::Silent);
+      CPPUNIT_ASSERT(fixture.Run(*session, "WRITE slot-3 uwase").error == ErrorCode::InDoubt);
+      CPPUNIT_ASSERT_EQUAL(std::size_t(0), fixture.RunsOf("WRITE slot-3 uwase").size());
+    });
+    Section("and a commit", [&] {
+      fixture.Confirm();
+      primary.conduct = nullptr;
+      CPPUNIT_ASSERT(!fixture.Run(*session, "BEGIN").error);
+      CPPUNIT_ASSERT(!fixture.Run(*session, "WRITE slot-4 uwase").error);
+      primary.conduct = loseWrites(Conduct::LoseAfterRun);
+      const ClientReply reply = fixture.Run(*session, "COMMIT");
+      CPPUNIT_ASSERT(reply.error == ErrorCode::InDoubt);
+      CPPUNIT_ASSERT(reply.state == TransactionState::Idle);
+    });
+    Section("a statement lost before its commit was sent aborts the transaction", [&] {
+      primary.conduct = nullptr;
+      CPPUNIT_ASSERT(!fixture.Run(*session, "BEGIN").error);
+      CPPUNIT_ASSERT(!fixture.Run(*session, "READ slot-4").error);
+      primary.conduct = loseWrites(Conduct::LoseAfterRun);
+      const ClientReply reply = fixture.Run(*session, "WRITE slot-5 uwase");
+      CPPUNIT_ASSERT(reply.error == ErrorCode::Aborted);
+      CPPUNIT_ASSERT(reply.state == TransactionState::Failed);
+    });
+    Section("reads are repeated elsewhere", [&] {
+      primary.conduct = nullptr;
+      const auto board = fixture.Open("board");
+      CPPUNIT_ASSERT(!fixture.Run(*board, "READ slot-1").error);
+      for (const char* replica : { "s2", "s3" }) {
+        fixture.network.Server(replica).conduct = [](const ServerCommand&) {
+          return Conduct::LoseAfterRun;
+        };
+      }
+      fixture.network.Server("s2").position = { 1, 9 };
+      fixture.network.Server("s3").position = { 1, 9 };
+      CPPUNIT_ASSERT(!fixture.Run(*board, "READ slot-1").error);
+    });
+  }
+
+  void TransactionsKeepTheirConnection()
+  {
+    SessionFixture fixture;
+    const auto session = fixture.Open("bookings");
+    const auto other = fixture.Open("bookings");
+    CPPUNIT_ASSERT(fixture.Run(*session, "BEGIN").state == TransactionState::Open);
+    CPPUNIT_ASSERT(!fixture.Run(*session, "WRITE slot-1 uwase").error);
+    Section("another client's statement runs outside of it", [&] {
+      CPPUNIT_ASSERT(!fixture.Run(*other, "WRITE slot-2 keza").error);
+      CPPUNIT_ASSERT(!fixture.RunsOf("WRITE slot-2 keza").at(0).isInTransaction);
+    });
+    Section("its own statements run inside, and the commit ends it", [&] {
+      CPPUNIT_ASSERT(fixture.RunsOf("WRITE slot-1 uwase").at(0).isInTransaction);
+      const ClientReply reply = fixture.Run(*session, "COMMIT");
+      CPPUNIT_ASSERT(!reply.error);
+      CPPUNIT_ASSERT(!reply.signature.empty());
+      CPPUNIT_ASSERT(reply.state == TransactionState::Idle);
+    });
+    Section("a rollback leaves nothing", [&] {
+      const LogPosition before = fixture.network.Server("s1").position;
+      CPPUNIT_ASSERT(!fixture.Run(*session, "BEGIN").error);
+      CPPUNIT_ASSERT(!fixture.Run(*session, "WRITE slot-3 uwase").error);
+      CPPUNIT_ASSERT(!fixture.Run(*session, "ROLLBACK").error);
+      fixture.Advance(milliseconds(50));
+      CPPUNIT_ASSERT(before == fixture.network.Server("s1").position);
+    });
+    Section("statements out of place are refused and change nothing", [&] {
+      CPPUNIT_ASSERT(fixture.Run(*session, "COMMIT").error == ErrorCode::Malformed);
+      CPPUNIT_ASSERT(fixture.Run(*session, "ROLLBACK").error == ErrorCode::Malformed);
+      CPPUNIT_ASSERT(!fixture.Run(*session, "BEGIN").error);
+      const ClientReply reply = fixture.Run(*session, "BEGIN");
+      CPPUNIT_ASSERT(reply.error == ErrorCode::Malformed);
+      CPPUNIT_ASSERT(reply.state == TransactionState::Open);
+    });
+  }
+
+  void ConnectionsThatBreakInAPauseAbortTheTransaction()
+  {
+    SessionFixture fixture;
+    const auto session = fixture.Open("bookings");
+    CPPUNIT_ASSERT(!fixture.Run(*session, "BEGIN").error);
+    CPPUNIT_ASSERT(!fixture.Run(*session, "WRITE slot-1 uwase").error);
+    fixture.network.BreakConnections(fixture.now, "s1");
+    Section("the commit is never sent, so the abort is certain", [&] {
+      const ClientReply reply = fixture.Run(*session, "COMMIT");
+      CPPUNIT_ASSERT(reply.error == ErrorCode::Aborted);
+      CPPUNIT_ASSERT(reply.state == TransactionState::Idle);
+      CPPUNIT_ASSERT(fixture.RunsOf("COMMIT").empty());
+    });
+    Section("the session goes on with another connection",
+            [&] { CPPUNIT_ASSERT(!fixture.Run(*session, "WRITE slot-1 uwase").error); });
+  }
+
+  void ValuesAndPreparedNamesStayApart()
+  {
+    SessionFixture fixture;
+    const auto first = fixture.Open("notes");
+    const auto second = fixture.Open("notes");
+    const auto third = fixture.Open("notes");
+    fixture.Run(*first, "SET language rw");
+    fixture.Run(*second, "SET language fr");
+    fixture.Run(*first, "PREPARE p READ shape-a");
+    fixture.Run(*second, "PREPARE p READ shape-b");
+    Section("each statement runs under its session's values and shapes", [&] {
+      CPPUNIT_ASSERT(!fixture.Run(*first, "EXECUTE p 1").error);
+      CPPUNIT_ASSERT_EQUAL(std::string("r:shape-a 1"), fixture.network.runs.back().statement);
+      CPPUNIT_ASSERT_EQUAL(std::string("rw"), fixture.network.runs.back().values.at("language"));
+      CPPUNIT_ASSERT(!fixture.Run(*second, "EXECUTE p 2").error);
+      CPPUNIT_ASSERT_EQUAL(std::string("r:shape-b 2"), fixture.network.runs.back().statement);
+      CPPUNIT_ASSERT_EQUAL(std::string("fr"), fixture.network.runs.back().values.at("language"));
+    });
+    Section("a session without values gets none of another's", [&] {
+      CPPUNIT_ASSERT(!fixture.Run(*third, "READ note-1").error);
+      CPPUNIT_ASSERT(fixture.network.runs.back().values.empty());
+    });
+    Section("a name prepared anew runs the new shape", [&] {
+      fixture.Run(*first, "PREPARE p READ shape-c");
+      CPPUNIT_ASSERT(!fixture.Run(*first, "EXECUTE p 3").error);
+      CPPUNIT_ASSERT_EQUAL(std::string("r:shape-c 3"), fixture.network.runs.back().statement);
+    });
+    Section("an unknown name is refused", [&] {
+      CPPUNIT_ASSERT(fixture.Run(*third, "EXECUTE p 1").error == ErrorCode::UnknownStatement);
+    });
+  }
+
+  void OrganisationsDontShareConnections()
+  {
+    SessionFixture fixture;
+    // One connection a server, so that the organisations compete for it.
+    fixture.pool.SetFleetSize(20);
+    const auto blue = fixture.Open("bookings");
+    const auto green = fixture.Open("bookings", "key-green");
+    for (int round = 0; round < 3; ++round) {
+      CPPUNIT_ASSERT(!fixture.Run(*blue, "READ b").error);
+      CPPUNIT_ASSERT_EQUAL(std::string("blue"), fixture.network.runs.back().organisation.Text());
+      CPPUNIT_ASSERT(!fixture.Run(*green, "READ g").error);
+      CPPUNIT_ASSERT_EQUAL(std::string("green"), fixture.network.runs.back().organisation.Text());
+      CPPUNIT_ASSERT(fixture.network.Server("s1").connections <= 1);
+    }
+  }
+
+  void WithdrawnKeysStopOpenSessions()
+  {
+    SessionFixture fixture;
+    const auto session = fixture.Open("bookings");
+    CPPUNIT_ASSERT(!fixture.Run(*session, "READ slot-1").error);
+    SessionConfiguration next = fixture.MakeConfiguration(2);
+    std::erase_if(next.organisationsByKeyHash,
+                  [](const auto& aEntry) { return aEntry.second == OrganisationName("blue"); });
+    fixture.cluster.Adopt(next);
+    CPPUNIT_ASSERT(fixture.Run(*session, "READ slot-1").error == ErrorCode::Unauthorised);
+    CPPUNIT_ASSERT(fixture.Open("bookings") == nullptr);
+    Section("an older configuration doesn't bring the key back", [&] {
+      CPPUNIT_ASSERT(!fixture.cluster.Adopt(fixture.MakeConfiguration(1)));
+      CPPUNIT_ASSERT(fixture.Open("bookings") == nullptr);
+    });
+  }
+
+  void UnconfirmedConfigurationsServePublicRoutesOnly()
+  {
+    SessionFixture fixture;
+    const auto keyed = fixture.Open("bookings");
+    const auto open = fixture.Open("hours", "");
+    CPPUNIT_ASSERT(!fixture.Run(*keyed, "READ slot-1").error);
+    fixture.Advance(seconds(5));
+    CPPUNIT_ASSERT(fixture.Run(*keyed, "READ slot-1").error == ErrorCode::Busy);
+    CPPUNIT_ASSERT(!fixture.Run(*open, "READ hours").error);
+  }
+
+  void ClientsThatLeaveHoldNothing()
+  {
+    SessionFixture fixture;
+    Section("in the pause of a transaction", [&] {
+      const auto session = fixture.Open("bookings");
+      CPPUNIT_ASSERT(!fixture.Run(*session, "BEGIN").error);
+      CPPUNIT_ASSERT(!fixture.Run(*session, "WRITE slot-1 uwase").error);
+      session->End(fixture.now);
+      fixture.Advance(milliseconds(50));
+      CPPUNIT_ASSERT_EQUAL(std::size_t(0), fixture.pool.BusyCount(ServerId("s1")));
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), fixture.network.Server("s1").position.offset);
+    });
+    Section("while a statement runs", [&] {
+      const auto session = fixture.Open("bookings");
+      CPPUNIT_ASSERT(!fixture.Run(*session, "BEGIN").error);
+      const auto reply = fixture.Start(*session, "WRITE slot-1 uwase");
+      fixture.Advance(milliseconds(3));
+      session->End(fixture.now);
+      fixture.Advance(milliseconds(50));
+      CPPUNIT_ASSERT(!reply->has_value());
+      CPPUNIT_ASSERT_EQUAL(std::size_t(0), fixture.pool.BusyCount(ServerId("s1")));
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), fixture.network.Server("s1").position.offset);
+    });
+    Section("the next client's statement runs outside of the old transaction", [&] {
+      const auto next = fixture.Open("bookings");
+      CPPUNIT_ASSERT(!fixture.Run(*next, "WRITE slot-2 keza").error);
+      CPPUNIT_ASSERT(!fixture.network.runs.back().isInTransaction);
+    });
+  }
+
+  void HopelessStatementsAreRefusedAtOnce()
+  {
+    SessionFixture fixture;
+    const auto session = fixture.Open("bookings");
+    Section("without a primary", [&] {
+      fixture.Put("s1", ServerRole::Replica);
+      const auto reply = fixture.Start(*session, "WRITE slot-1 uwase");
+      CPPUNIT_ASSERT(reply->has_value());
+      CPPUNIT_ASSERT((*reply)->error == ErrorCode::Busy);
+    });
+    Section("over the rate", [&] {
+      fixture.Put("s1", ServerRole::Primary);
+      RateAllocation none;
+      none.version = 2;
+      fixture.buckets.Configure(fixture.now, fixture.cluster.Configuration().limits, none);
+      const auto reply = fixture.Start(*session, "WRITE slot-1 uwase");
+      CPPUNIT_ASSERT(reply->has_value());
+      CPPUNIT_ASSERT((*reply)->error == ErrorCode::Busy);
+    });
+  }
+
+  void BusyServersAreAskedAgain()
+  {
+    SessionFixture fixture;
+    const auto session = fixture.Open("bookings");
+    int refusals = 2;
+    fixture.network.Server("s1").refusal =
+      [&](const ServerCommand& aCommand) -> std::optional<ErrorCode> {
+      if (!aCommand.requestId.empty() && refusals-- > 0) {
+        return ErrorCode::Busy;
+      }
+      return std::nullopt;
+    };
+    CPPUNIT_ASSERT(!fixture.Run(*session, "WRITE slot-1 uwase").error);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), fixture.RunsOf("WRITE slot-1 uwase").size());
+    Section("inside a transaction too", [&] {
+      CPPUNIT_ASSERT(!fixture.Run(*session, "BEGIN").error);
+      CPPUNIT_ASSERT(!fixture.Run(*session, "READ slot-1").error);
+      refusals = 2;
+      CPPUNIT_ASSERT(!fixture.Run(*session, "WRITE slot-1 keza").error);
+      refusals = 2;
+      CPPUNIT_ASSERT(!fixture.Run(*session, "COMMIT").error);
+    });
+  }
+
+  void IdleTransactionsAreRolledBack()
+  {
+    SessionFixture fixture;
+    const auto session = fixture.Open("bookings");
+    CPPUNIT_ASSERT(!fixture.Run(*session, "BEGIN").error);
+    CPPUNIT_ASSERT(!fixture.Run(*session, "WRITE slot-1 uwase").error);
+    fixture.Advance(milliseconds(3100));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), fixture.pool.BusyCount(ServerId("s1")));
+    const ClientReply reply = fixture.Run(*session, "COMMIT");
+    CPPUNIT_ASSERT(reply.error == ErrorCode::Aborted);
+    CPPUNIT_ASSERT(reply.state == TransactionState::Idle);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), fixture.network.Server("s1").position.offset);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ClientSessionTest);
+
+} // namespace mustardshift::proxy
--- /dev/null
+++ b/packages/proxy/tests/FakeNetwork.cpp
@@ -0,0 +1,256 @@
+#include "proxy/tests/FakeNetwork.h"
+
+#include <utility>
+
+namespace mustardshift::proxy::test {
+
+namespace {
+
+ServerReply Refuse(ErrorCode aError, TransactionState aState, LogPosition aPosition)
+{
+  ServerReply reply;
+  reply.status = ReplyStatus::Refused;
+  reply.error = aError;
+  reply.state = aState;
+  reply.position = aPosition;
+  return reply;
+}
+
+bool IsWriteText(const std::string& aText)
+{
+  return aText.starts_with("WRITE") || aText.starts_with("w:");
+}
+
+} // namespace
+
+FakeNetwork::Link::Link(FakeNetwork& aNetwork, FakeServer& aServer, OrganisationName aOrganisation)
+  : network(aNetwork)
+  , server(aServer)
+  , organisation(std::move(aOrganisation))
+{
+  this->network.links.insert(this);
+  ++this->server.connections;
+}
+
+FakeNetwork::Link::~Link()
+{
+  *this->exists = false;
+  this->Close();
+  this->network.links.erase(this);
+}
+
+void FakeNetwork::Link::Close()
+{
+  if (std::exchange(this->isOpen, false)) {
+    --this->server.connections;
+  }
+  this->handler = nullptr;
+  this->lost = nullptr;
+}
+
+void FakeNetwork::Link::Break(Instant aNow)
+{
+  const ReplyHandler running = std::exchange(this->handler, nullptr);
+  const auto idle = std::exchange(this->lost, nullptr);
+  this->Close();
+  if (running) {
+    running(aNow, ServerReply{});
+  } else if (idle) {
+    idle(aNow);
+  }
+}
+
+void FakeNetwork::Link::Send(const ServerCommand& aCommand, ReplyHandler aHandler)
+{
+  this->handler = std::move(aHandler);
+  if (!this->isOpen) {
+    this->Answer(ServerReply{});
+    return;
+  }
+  const Conduct conduct = this->server.isDark    ? Conduct::Silent
+                          : this->server.conduct ? this->server.conduct(aCommand)
+                                                 : Conduct::Answer;
+  switch (conduct) {
+    case Conduct::Silent:
+      return;
+    case Conduct::LoseBeforeRun:
+      this->Answer(ServerReply{});
+      return;
+    case Conduct::LoseAfterRun:
+      this->Run(aCommand);
+      this->Answer(ServerReply{});
+      return;
+    case Conduct::Answer:
+      this->Answer(this->Run(aCommand));
+      return;
+  }
+}
+
+void FakeNetwork::Link::Answer(ServerReply aReply)
+{
+  this->network.scheduler.Schedule(
+    this->network.now + kAnswerTime,
+    [this, alive = this->exists, reply = std::move(aReply)](Instant aNow) {
+      if (!*alive || !this->handler) {
+        return;
+      }
+      if (reply.status == ReplyStatus::Lost) {
+        this->Break(aNow);
+        return;
+      }
+      const ReplyHandler done = std::exchange(this->handler, nullptr);
+      done(aNow, reply);
+    });
+}
+
+ServerReply FakeNetwork::Link::Run(const ServerCommand& aCommand)
+{
+  const auto state = [&] {
+    return this->isInTransaction ? TransactionState::Open : TransactionState::Idle;
+  };
+  if (this->server.refusal) {
+    if (const auto error = this->server.refusal(aCommand)) {
+      return Refuse(*error, state(), this->server.position);
+    }
+  }
+  if (aCommand.after && !this->server.Holds(*aCommand.after)) {
+    return Refuse(ErrorCode::Lagging, state(), this->server.position);
+  }
+  ServerReply reply;
+  reply.status = ReplyStatus::Done;
+  switch (aCommand.kind) {
+    case ServerCommandKind::SetValue:
+      this->values[aCommand.name] = aCommand.body;
+      break;
+    case ServerCommandKind::Prepare:
+      this->prepared[aCommand.name] =
+        (aCommand.access == AccessKind::Write ? "w:" : "r:") + aCommand.body;
+      break;
+    case ServerCommandKind::Reset:
+      this->values.clear();
+      this->prepared.clear();
+      break;
+    case ServerCommandKind::Begin:
+    case ServerCommandKind::BeginReadOnly:
+      if (aCommand.kind == ServerCommandKind::Begin && !this->server.isPrimary) {
+        return Refuse(ErrorCode::ReadOnly, state(), this->server.position);
+      }
+      this->isInTransaction = true;
+      this->isPlainTransaction = aCommand.kind == ServerCommandKind::Begin;
+      this->hasWritten = false;
+      break;
+    case ServerCommandKind::Rollback:
+      this->isInTransaction = false;
+      break;
+    case ServerCommandKind::Status:
+      break;
+    case ServerCommandKind::Forward:
+    case ServerCommandKind::Execute:
+      reply = this->RunStatement(aCommand);
+      break;
+  }
+  reply.state = state();
+  reply.position = this->server.position;
+  return reply;
+}
+
+ServerReply FakeNetwork::Link::RunStatement(const ServerCommand& aCommand)
+{
+  std::string text = aCommand.text;
+  if (aCommand.kind == ServerCommandKind::Execute) {
+    const auto found = this->prepared.find(aCommand.name);
+    if (found == this->prepared.end()) {
+      return Refuse(ErrorCode::UnknownStatement, TransactionState::Idle, this->server.position);
+    }
+    text = found->second + " " + aCommand.body;
+  }
+  const bool isWrite = IsWriteText(text);
+  const bool needsLead = isWrite || (this->isInTransaction && this->isPlainTransaction);
+  if (needsLead && !this->server.isPrimary) {
+    return Refuse(ErrorCode::ReadOnly, TransactionState::Failed, this->server.position);
+  }
+  const bool isCommit = text == "COMMIT";
+  if ((isWrite && !this->isInTransaction) || (isCommit && this->hasWritten)) {
+    ++this->server.position.offset;
+  }
+  this->hasWritten = this->hasWritten || isWrite;
+  this->network.runs.push_back({ aCommand.requestId,
+                                 this->server.id,
+                                 this->organisation,
+                                 text,
+                                 this->values,
+                                 this->isInTransaction,
+                                 this->server.position });
+  if (isCommit) {
+    this->isInTransaction = false;
+    this->hasWritten = false;
+  }
+  ServerReply reply;
+  reply.status = ReplyStatus::Done;
+  reply.signature = "signed-" + aCommand.requestId;
+  if (!isWrite && !isCommit) {
+    reply.rows.push_back("row of " + text);
+  }
+  return reply;
+}
+
+void FakeNetwork::Connect(const ConnectTarget& aTarget,
+                          std::function<void(Instant, ServerReply, std::unique_ptr<Link>)> aHandler)
+{
+  ++this->opened;
+  FakeServer& server = this->servers.at(aTarget.server);
+  const Duration time = server.isDark ? Duration(std::chrono::milliseconds(500)) : kOpenTime;
+  this->scheduler.Schedule(
+    this->now + time,
+    [this, &server, target = aTarget, handler = std::move(aHandler)](Instant aNow) {
+      ServerReply reply;
+      if (server.isDark) {
+        handler(aNow, reply, nullptr);
+        return;
+      }
+      if (server.connections >= server.connectionLimit) {
+        handler(aNow,
+                Refuse(ErrorCode::TooManyConnections, TransactionState::Idle, server.position),
+                nullptr);
+        return;
+      }
+      reply.status = ReplyStatus::Done;
+      reply.position = server.position;
+      handler(aNow, reply, std::make_unique<Link>(*this, server, target.organisation));
+    });
+}
+
+FakeServer& FakeNetwork::Add(const std::string& aId, bool aIsPrimary)
+{
+  FakeServer& server = this->servers[ServerId(aId)];
+  server.id = ServerId(aId);
+  server.isPrimary = aIsPrimary;
+  return server;
+}
+
+void FakeNetwork::Promote(const std::string& aId)
+{
+  std::uint64_t term = 0;
+  for (auto& [id, server] : this->servers) {
+    server.isPrimary = false;
+    term = std::max(term, server.position.term);
+  }
+  FakeServer& promoted = this->Server(aId);
+  promoted.isPrimary = true;
+  for (auto& [id, server] : this->servers) {
+    server.termStart = promoted.position.offset;
+    server.position = { term + 1, std::min(server.position.offset, promoted.position.offset) };
+  }
+}
+
+void FakeNetwork::BreakConnections(Instant aNow, const std::string& aId)
+{
+  const std::set<Link*> present = this->links;
+  for (Link* link : present) {
+    if (this->links.contains(link) && link->server.id == ServerId(aId)) {
+      link->Break(aNow);
+    }
+  }
+}
+
+} // namespace mustardshift::proxy::test
--- /dev/null
+++ b/packages/proxy/tests/FakeNetwork.h
@@ -0,0 +1,137 @@
+#pragma once
+
+#include "proxy/pool/DatabaseNetwork.h"
+#include "proxy/schedule/Scheduler.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace mustardshift::proxy::test {
+
+/** What a fake server does with a command. */
+enum class Conduct
+{
+  Answer,
+  /** Breaks the connection and runs nothing. */
+  LoseBeforeRun,
+  /** Runs the command and breaks the connection instead of answering. */
+  LoseAfterRun,
+  /** Neither runs nor answers. */
+  Silent,
+};
+
+/** A client's statement that ran at a fake server. */
+struct RunRecord
+{
+  std::string requestId;
+  ServerId server;
+  OrganisationName organisation;
+  /** Statement as it ran: the text, or "shape arguments" of a prepared one. */
+  std::string statement;
+  std::map<std::string, std::string> values;
+  bool isInTransaction = false;
+  LogPosition position;
+};
+
+/** A database server in memory: one log position, terms, transactions, session values. */
+struct FakeServer
+{
+  ServerId id;
+  bool isPrimary = false;
+  LogPosition position{ 1, 0 };
+  /** Offset at which the term of `position` began. */
+  std::uint64_t termStart = 0;
+  /** Connections get no answer at all. */
+  bool isDark = false;
+  std::size_t connectionLimit = 100;
+  std::size_t connections = 0;
+  /** Decides about each command of a client or of the proxy. */
+  std::function<Conduct(const ServerCommand&)> conduct;
+  /** Refuses with this code instead of running, when set. */
+  std::function<std::optional<ErrorCode>(const ServerCommand&)> refusal;
+
+  /** Whether the log has the entry at a position; one of an ended term may have been cut off. */
+  bool Holds(LogPosition aPosition) const
+  {
+    return aPosition.term == this->position.term
+             ? aPosition.offset <= this->position.offset
+             : aPosition.term < this->position.term && aPosition.offset <= this->termStart;
+  }
+};
+
+/** The servers of a test and their network, in virtual time; satisfies DatabaseNetwork. */
+class FakeNetwork
+{
+public:
+  static constexpr Duration kAnswerTime = std::chrono::milliseconds(2);
+  static constexpr Duration kOpenTime = std::chrono::milliseconds(12);
+
+  /** An open connection; satisfies DatabaseLink. */
+  class Link
+  {
+  public:
+    Link(FakeNetwork& aNetwork, FakeServer& aServer, OrganisationName aOrganisation);
+    ~Link();
+    Link(const Link&) = delete;
+    Link& operator=(const Link&) = delete;
+
+    void Send(const ServerCommand& aCommand, ReplyHandler aHandler);
+    void OnLost(std::function<void(Instant)> aHandler) { this->lost = std::move(aHandler); }
+    void Close();
+    /** The server breaks the connection. */
+    void Break(Instant aNow);
+
+  private:
+    friend class FakeNetwork;
+    ServerReply Run(const ServerCommand& aCommand);
+    ServerReply RunStatement(const ServerCommand& aCommand);
+    void Answer(ServerReply aReply);
+
+    FakeNetwork& network;
+    FakeServer& server;
+    OrganisationName organisation;
+    ReplyHandler handler;
+    std::function<void(Instant)> lost;
+    std::map<std::string, std::string> values;
+    std::map<std::string, std::string> prepared;
+    bool isInTransaction = false;
+    bool isPlainTransaction = false;
+    bool hasWritten = false;
+    bool isOpen = true;
+    /** Tells late events whether the link still exists. */
+    std::shared_ptr<bool> exists = std::make_shared<bool>(true);
+  };
+
+  explicit FakeNetwork(Scheduler& aScheduler)
+    : scheduler(aScheduler)
+  {
+  }
+
+  /** See DatabaseNetwork. */
+  void Connect(const ConnectTarget& aTarget,
+               std::function<void(Instant, ServerReply, std::unique_ptr<Link>)> aHandler);
+
+  FakeServer& Add(const std::string& aId, bool aIsPrimary);
+  FakeServer& Server(const std::string& aId) { return this->servers.at(ServerId(aId)); }
+  /** Makes a server the primary of the next term, with the log that it has. The others lose what is
+      ahead of it. */
+  void Promote(const std::string& aId);
+  /** Breaks all open connections of a server. */
+  void BreakConnections(Instant aNow, const std::string& aId);
+
+  std::vector<RunRecord> runs;
+  std::size_t opened = 0;
+  Instant now{};
+
+private:
+  Scheduler& scheduler;
+  std::map<ServerId, FakeServer> servers;
+  std::set<Link*> links;
+};
+
+} // namespace mustardshift::proxy::test
--- /dev/null
+++ b/packages/proxy/tests/SessionFixture.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "proxy/session/ClientSession.h"
+#include "proxy/tests/FakeNetwork.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace mustardshift::proxy::test {
+
+/** One VM's session engine over fake servers, in virtual time: group "fittings" with the primary
+    "s1" and the replicas "s2" and "s3"; organisations "blue" and "green", keys "key-blue" and
+    "key-green"; routes "bookings" (primary), "board" (bounded, 1.5 s) and "notes" (session). */
+struct SessionFixture
+{
+  SessionFixture();
+
+  /** Starts a session; nothing when it was refused. */
+  std::shared_ptr<ClientSession<FakeNetwork>> Open(const std::string& aDatabase,
+                                                   const std::string& aKey = "key-blue");
+  /** Runs a statement and the virtual time until its answer. */
+  ClientReply Run(ClientSession<FakeNetwork>& aSession, const std::string& aText);
+  /** Starts a statement; the answer appears in the returned place. */
+  std::shared_ptr<std::optional<ClientReply>> Start(ClientSession<FakeNetwork>& aSession,
+                                                    const std::string& aText);
+  /** Runs the virtual time for a while. */
+  void Advance(Duration aTime);
+  /** Confirms the configuration, and renews the lease on rates, as of now. */
+  void Confirm();
+  SessionConfiguration MakeConfiguration(std::uint64_t aVersion) const;
+  void Put(const std::string& aId, ServerRole aRole, ServerState aState = ServerState::Ready);
+  /** Runs of statements with this text. */
+  std::vector<RunRecord> RunsOf(const std::string& aText) const;
+
+  /** Parses the few statements that the tests use. */
+  static Statement Parse(const std::string& aText);
+
+  Instant now{ std::chrono::seconds(1000) };
+  Scheduler scheduler;
+  std::vector<std::string> lines;
+  EventLog log{ [this](std::string aLine) { this->lines.push_back(std::move(aLine)); }, 1000 };
+  FakeNetwork network{ this->scheduler };
+  ClusterState cluster{ std::chrono::seconds(5) };
+  ServerHealth health;
+  PositionTable positions{ std::chrono::seconds(5) };
+  ReplicaPositions replicaPositions;
+  OrganisationBuckets buckets{ VmId("vm-1") };
+  ServerPool<FakeNetwork> pool{ network, cluster, health, scheduler, log };
+  std::vector<StatementOutcome> outcomes;
+  SessionContext<FakeNetwork> context{ cluster,
+                                       pool,
+                                       health,
+                                       positions,
+                                       replicaPositions,
+                                       buckets,
+                                       scheduler,
+                                       log,
+                                       {},
+                                       [this](const StatementOutcome& aOutcome) {
+                                         this->outcomes.push_back(aOutcome);
+                                       } };
+  unsigned lastRequest = 0;
+};
+
+} // namespace mustardshift::proxy::test
