--- a/packages/adapters/settings/SessionSettings.h
+++ b/packages/adapters/settings/SessionSettings.h
@@ -28,6 +28,12 @@
   /** Time between the signal to stop and the end of the process. */
   Duration shutdownGrace = std::chrono::seconds(6);
 
+  /** How far an organisation's operations may exceed rate and burst in any span of rateWindow: by
+      this part, and by this number of operations. */
+  Duration rateWindow = std::chrono::seconds(5);
+  double rateOvershoot = 0;
+  double rateSlack = 0;
+
   friend bool operator==(const SessionSettings&, const SessionSettings&) = default;
 };
 
--- a/packages/adapters/settings/SessionSettingsReader.cpp
+++ b/packages/adapters/settings/SessionSettingsReader.cpp
@@ -11,6 +11,8 @@
 
 /** Bounds below this can't be kept with one confirmation a second. */
 constexpr Duration kLeastBound = seconds(2);
+/** Operations; more would be no limit. */
+constexpr double kGreatestSlack = 10'000;
 constexpr Duration kGreatestBound = minutes(10);
 
 } // namespace
@@ -46,7 +48,10 @@
                 "orders_address",
                 "withdrawn_key_bound",
                 "evacuation_bound",
-                "shutdown_grace" },
+                "shutdown_grace",
+                "rate_window",
+                "rate_overshoot",
+                "rate_slack" },
               errors);
   SessionSettings settings;
   settings.vm = VmId(top.Identifier("vm"));
@@ -62,6 +67,13 @@
     top.Span("evacuation_bound", kLeastBound, kGreatestBound, settings.evacuationBound);
   settings.shutdownGrace =
     top.Span("shutdown_grace", seconds(1), kGreatestBound, settings.shutdownGrace);
+  settings.rateWindow = top.Span("rate_window", seconds(1), kGreatestBound, settings.rateWindow);
+  if (top.Has("rate_overshoot")) {
+    settings.rateOvershoot = top.Number("rate_overshoot", 0, 1);
+  }
+  if (top.Has("rate_slack")) {
+    settings.rateSlack = top.Number("rate_slack", 0, kGreatestSlack);
+  }
   InputErrors found = errors.Take();
   if (!found.empty()) {
     return tl::unexpected(std::move(found));
--- a/packages/core/rate/DemandEstimate.cpp
+++ b/packages/core/rate/DemandEstimate.cpp
@@ -31,6 +31,11 @@
   return std::max(this->DecayedQuick(aNow) / kQuickSeconds, this->DecayedSlow(aNow) / kSlowSeconds);
 }
 
+double DemandEstimate::SteadyRate(Instant aNow) const
+{
+  return this->DecayedSlow(aNow) / kSlowSeconds;
+}
+
 double DemandEstimate::DecayedQuick(Instant aNow) const
 {
   return Decayed(this->quick, aNow - this->decayedUntil, kQuickSeconds);
--- a/packages/core/rate/DemandEstimate.h
+++ b/packages/core/rate/DemandEstimate.h
@@ -17,6 +17,9 @@
   /** Returns requests per second. */
   double Rate(Instant aNow) const;
 
+  /** Returns requests per second averaged over several seconds, without the quick rise. */
+  double SteadyRate(Instant aNow) const;
+
 private:
   double DecayedQuick(Instant aNow) const;
   double DecayedSlow(Instant aNow) const;
--- a/packages/proxy/ProxySettings.h
+++ b/packages/proxy/ProxySettings.h
@@ -2,6 +2,7 @@
 
 #include "core/base/Instant.h"
 #include "core/base/Names.h"
+#include "proxy/rate/RateTolerance.h"
 #include "proxy/session/SessionTimings.h"
 
 namespace mustardshift::proxy {
@@ -12,14 +13,15 @@
   VmId vm;
   /** How long a configuration may be used for requests with a key after it was last confirmed. */
   Duration keyTrust = std::chrono::milliseconds(4800);
-  /** Longest hold of a watch on the configuration, which bounds the age of its confirmation. */
-  Duration configurationWatch = std::chrono::milliseconds(1000);
+  /** Longest hold of a watch on the configuration; its confirmation is up to twice as old. */
+  Duration configurationWatch = std::chrono::milliseconds(1500);
   /** Longest hold of a watch on the list of servers. */
   Duration serverWatch = std::chrono::milliseconds(5000);
   /** An idle connection to a server is closed after this time; servers do so after 60 s. */
   Duration idleConnection = std::chrono::seconds(20);
   /** Longest bound on age that routes have. */
   Duration longestStaleness = std::chrono::seconds(5);
+  RateTolerance rateTolerance;
   SessionTimings timings;
 };
 
--- a/packages/proxy/SessionProxy.h
+++ b/packages/proxy/SessionProxy.h
@@ -59,7 +59,7 @@
     , log(aLog)
     , cluster(this->settings.keyTrust)
     , positions(this->settings.longestStaleness)
-    , buckets(this->settings.vm)
+    , buckets(this->settings.vm, this->settings.rateTolerance)
     , pool(aNetwork, this->cluster, this->health, aScheduler, aLog)
     , prober(this->pool, this->cluster, this->health, this->positions, aScheduler)
     , driver(this->settings.vm,
--- a/packages/proxy/coordination/FleetCoordinator.h
+++ b/packages/proxy/coordination/FleetCoordinator.h
@@ -29,7 +29,7 @@
 {
 public:
   /** Period of reads and of renewals of this VM's row. */
-  static constexpr Duration kPeriod = std::chrono::milliseconds(1000);
+  static constexpr Duration kPeriod = std::chrono::milliseconds(1500);
   /** Period of reads while a primary has to be replaced. */
   static constexpr Duration kUrgentPeriod = std::chrono::milliseconds(300);
   /** Calls without an answer are followed by further ones, up to this number. */
@@ -85,7 +85,7 @@
   void ApplyShares(Instant aNow)
   {
     this->buckets.Configure(aNow, this->cluster.Configuration().limits, this->fleet.Allocation());
-    this->confirmedAllocation = this->fleet.Allocation().version;
+    this->inForce = this->fleet.Allocation();
   }
 
   /** End of this VM's lease on its rate shares. */
@@ -131,13 +131,17 @@
       this->log.Write(aNow, "fleet", "malformed-row", { { "key", key } });
     }
     const bool isFirst = !std::exchange(this->hasRead, true);
-    if (isFirst || this->fleet.Allocation().version != this->confirmedAllocation) {
+    if (isFirst || this->fleet.Allocation().version != this->inForce.version) {
+      const bool hasLost = this->HasLostShare();
       this->ApplyShares(aNow);
       this->log.WriteAlways(aNow,
                             "rate",
                             "allocation-in-force",
-                            { { "version", std::to_string(this->confirmedAllocation) } });
-      this->Renew(aNow);
+                            { { "version", std::to_string(this->inForce.version) } });
+      // What this VM gives up goes to others once it has confirmed.
+      if (isFirst || hasLost) {
+        this->Renew(aNow);
+      }
     }
     // After a gap in the lease the shares may have gone to others; they are known from here on.
     if (this->renewedAfterGap && this->renewalAnswered <= aSentAt) {
@@ -150,6 +154,16 @@
     this->onRead(aNow);
   }
 
+  /** Whether the allocation just read takes parts from this VM. */
+  bool HasLostShare() const
+  {
+    const auto& shares = this->inForce.shares;
+    return std::any_of(shares.begin(), shares.end(), [&](const auto& aEntry) {
+      return this->fleet.Allocation().PartsOf(aEntry.first, this->self) <
+             this->inForce.PartsOf(aEntry.first, this->self);
+    });
+  }
+
   void RenewAgain(Instant aNow)
   {
     this->scheduler.Schedule(aNow + kPeriod, [this](Instant aThen) {
@@ -165,7 +179,7 @@
     }
     ++this->writes;
     const MemberRow row{
-      ++this->sequence, this->confirmedAllocation, this->buckets.Demand(aNow), this->unreachable
+      ++this->sequence, this->inForce.version, this->buckets.Demand(aNow), this->unreachable
     };
     this->store.Write(RowChange{ std::string(FleetView::kTable),
                                  FleetView::MemberKey(this->self),
@@ -236,7 +250,8 @@
   unsigned writes = 0;
   Instant latestRead{};
   std::uint64_t sequence = 0;
-  std::uint64_t confirmedAllocation = 0;
+  /** The allocation that the buckets follow. */
+  RateAllocation inForce;
   std::set<ServerId> unreachable;
   Instant leaseUntil{};
   /** Instant before a renewal was sent that was answered after the lease had ended. */
--- a/packages/proxy/coordination/FleetView.h
+++ b/packages/proxy/coordination/FleetView.h
@@ -33,7 +33,7 @@
       clocks that don't run alike. */
   static constexpr Duration kLapseAfter = std::chrono::milliseconds(6500);
   /** The opinion of a VM counts while its row is younger than this: three renewals. */
-  static constexpr Duration kFreshFor = std::chrono::milliseconds(3500);
+  static constexpr Duration kFreshFor = std::chrono::milliseconds(4500);
 
   static constexpr std::string_view kTable = "fleet";
   static constexpr std::string_view kAllocationKey = "allocation";
--- a/packages/proxy/rate/OrganisationBuckets.cpp
+++ b/packages/proxy/rate/OrganisationBuckets.cpp
@@ -1,16 +1,7 @@
 #include "proxy/rate/OrganisationBuckets.h"
 
-#include <algorithm>
-
 namespace mustardshift::proxy {
 
-namespace {
-
-/** Capacity of a bucket with a small share; a whole token has to fit. */
-constexpr double kLeastCapacity = 1.5;
-
-} // namespace
-
 void OrganisationBuckets::Configure(Instant aNow,
                                     const std::map<OrganisationName, OrganisationLimit>& aLimits,
                                     const RateAllocation& aAllocation)
@@ -19,8 +10,9 @@
   for (const auto& [organisation, limit] : aLimits) {
     const double part =
       static_cast<double>(aAllocation.PartsOf(organisation, this->self)) / kRateParts;
-    const double rate = limit.ratePerSecond * part;
-    const double capacity = part > 0 ? std::max(kLeastCapacity, limit.burst * part) : 0;
+    const OrganisationLimit enforced = EnforcedLimit(limit, this->tolerance);
+    const double rate = enforced.ratePerSecond * part;
+    const double capacity = enforced.burst * part;
     const auto [entry, isNew] = this->entries.try_emplace(organisation);
     if (isNew) {
       entry->second.bucket = TokenBucket(rate, capacity, 0, aNow);
@@ -59,7 +51,7 @@
 {
   std::map<OrganisationName, double> demand;
   for (const auto& [organisation, entry] : this->entries) {
-    demand[organisation] = entry.demand.Rate(aNow);
+    demand[organisation] = entry.demand.SteadyRate(aNow);
   }
   return demand;
 }
--- a/packages/proxy/rate/OrganisationBuckets.h
+++ b/packages/proxy/rate/OrganisationBuckets.h
@@ -6,6 +6,7 @@
 #include "core/rate/TokenBucket.h"
 #include "proxy/cluster/SessionConfiguration.h"
 #include "proxy/rate/RateAllocation.h"
+#include "proxy/rate/RateTolerance.h"
 
 #include <map>
 #include <optional>
@@ -19,8 +20,9 @@
 class OrganisationBuckets
 {
 public:
-  explicit OrganisationBuckets(VmId aSelf)
+  explicit OrganisationBuckets(VmId aSelf, RateTolerance aTolerance = {})
     : self(std::move(aSelf))
+    , tolerance(aTolerance)
   {
   }
 
@@ -52,6 +54,7 @@
   };
 
   VmId self;
+  RateTolerance tolerance;
   Instant leaseUntil{};
   std::map<OrganisationName, Entry> entries;
 };
--- a/packages/proxy/rate/PlanRateAllocation.cpp
+++ b/packages/proxy/rate/PlanRateAllocation.cpp
@@ -1,43 +1,48 @@
 #include "proxy/rate/PlanRateAllocation.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace mustardshift::proxy {
 
 namespace {
 
-/** Share that a VM without demand keeps, so that clients that move there are served at once. */
-constexpr std::uint32_t kFloorParts = 300;
-/** Demand above this part of a VM's rate starts a new division. */
-constexpr double kTightUse = 0.7;
+/** Part of the spare rate that is divided evenly, so that clients that move are served at once; the
+    rest follows the demand. */
+constexpr double kEvenPart = 0.5;
+/** Part that is divided evenly when the demand exceeds the rate. */
+constexpr double kEvenPartWhenScarce = 0.2;
+/** A VM that asks for more than this part of its share needs a new division. */
+constexpr double kTightUse = 0.8;
+/** A VM gives up parts when it has this many times what it should have. */
+constexpr double kTooMuch = 1.3;
 /** Smaller differences from the ideal division are left alone. */
 constexpr std::uint32_t kLeastMove = 100;
 
 using Shares = std::map<VmId, RateShare>;
 
+double DemandOf(const OrganisationName& aOrganisation, const RateMember& aMember)
+{
+  const auto found = aMember.demand.find(aOrganisation);
+  return found == aMember.demand.end() ? 0.0 : found->second;
+}
+
+/** Divides the whole: what each VM asks for, and the rest partly evenly, partly by demand. */
 std::map<VmId, std::uint32_t> IdealParts(const OrganisationName& aOrganisation,
-                                         const std::vector<const RateMember*>& aLive)
+                                         const std::vector<const RateMember*>& aLive,
+                                         double aRate)
 {
   std::map<VmId, std::uint32_t> ideal;
-  if (aLive.empty()) {
-    return ideal;
-  }
-  const auto count = static_cast<std::uint32_t>(aLive.size());
-  const std::uint32_t floor = std::min(kFloorParts, kRateParts / (2 * count));
-  const std::uint32_t divided = kRateParts - floor * count;
   double total = 0;
-  const auto demandOf = [&](const RateMember& aMember) {
-    const auto found = aMember.demand.find(aOrganisation);
-    // A small constant divides evenly where nobody asks.
-    return (found == aMember.demand.end() ? 0.0 : found->second) + 0.01;
-  };
   for (const RateMember* member : aLive) {
-    total += demandOf(*member);
+    total += DemandOf(aOrganisation, *member);
   }
+  const auto count = static_cast<double>(aLive.size());
+  const double asked = aRate > 0 ? std::min(1.0, total / aRate) : 1.0;
+  const double even = total > 0 ? std::max(kEvenPartWhenScarce, kEvenPart * (1 - asked)) : 1.0;
   for (const RateMember* member : aLive) {
+    const double byDemand = total > 0 ? DemandOf(aOrganisation, *member) / total : 0.0;
     ideal[member->vm] =
-      floor + static_cast<std::uint32_t>(std::floor(divided * demandOf(*member) / total));
+      static_cast<std::uint32_t>(kRateParts * (even / count + (1 - even) * byDemand));
   }
   return ideal;
 }
@@ -53,9 +58,7 @@
     if (share == aShares.end() || share->second.parts == 0) {
       return true;
     }
-    const auto demand = aMember->demand.find(aOrganisation);
-    return demand != aMember->demand.end() &&
-           demand->second > kTightUse * aRate * share->second.parts / kRateParts;
+    return DemandOf(aOrganisation, *aMember) > kTightUse * aRate * share->second.parts / kRateParts;
   });
 }
 
@@ -86,7 +89,7 @@
   std::uint32_t wanted = 0;
   for (const auto& [vm, ideal] : aIdeal) {
     RateShare& share = aShares[vm];
-    if (share.parts > ideal + kLeastMove) {
+    if (share.parts > kTooMuch * ideal + kLeastMove) {
       share.parts = ideal;
       share.changedIn = aVersion;
       hasChanged = true;
@@ -142,7 +145,8 @@
     const bool hasSettled = SettleCeilings(shares, members);
     hasChanged |= hasSettled;
     if (hasSettled || NeedsDivision(organisation, shares, live, limit.ratePerSecond)) {
-      hasChanged |= Divide(shares, IdealParts(organisation, live), next.version);
+      hasChanged |=
+        Divide(shares, IdealParts(organisation, live, limit.ratePerSecond), next.version);
     }
   }
   if (!hasChanged) {
--- /dev/null
+++ b/packages/proxy/tests/RateAllocationTest.cpp
@@ -0,0 +1,275 @@
+#include "proxy/rate/OrganisationBuckets.h"
+#include "proxy/rate/PlanRateAllocation.h"
+#include "support/Section.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cppunit/extensions/HelperMacros.h>
+#include <deque>
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace mustardshift::proxy {
+
+using mustardshift::test::Section;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+const OrganisationName kBlue("blue");
+
+std::map<OrganisationName, OrganisationLimit> Limits(double aRate)
+{
+  return { { kBlue, { aRate, aRate } } };
+}
+
+std::uint32_t SumOfParts(const RateAllocation& aAllocation)
+{
+  std::uint32_t sum = 0;
+  for (const auto& [vm, share] : aAllocation.shares.at(kBlue)) {
+    sum += share.parts;
+  }
+  return sum;
+}
+
+/** A VM of a seeded history. */
+struct HistoryVm
+{
+  VmId id;
+  OrganisationBuckets buckets;
+  RateAllocation inForce;
+  bool isUp = true;
+  double demand = 0;
+};
+
+} // namespace
+
+/** Guards against shares that together exceed an organisation's rate while they move, and against
+    refusals of what is owed because the shares don't follow the demand. */
+class RateAllocationTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(RateAllocationTest);
+  CPPUNIT_TEST(EnforcedLimitsKeepTheTolerance);
+  CPPUNIT_TEST(PartsMoveOnlyAfterTheirHolderConfirms);
+  CPPUNIT_TEST(LapsedVmsGiveUpTheirParts);
+  CPPUNIT_TEST(SharesFollowDemand);
+  CPPUNIT_TEST(ALeaseThatHasEndedStopsTheBuckets);
+  CPPUNIT_TEST(WindowsKeepTheToleranceInSeededHistories);
+  CPPUNIT_TEST(EncodedAllocationsAreReadBack);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void EnforcedLimitsKeepTheTolerance()
+  {
+    for (const double rate : { 1.0, 20.0, 136.0, 2000.0 }) {
+      for (const double burst : { 0.0, 1.0, 136.0 }) {
+        const OrganisationLimit limit = EnforcedLimit({ rate, burst }, RateTolerance{});
+        CPPUNIT_ASSERT(limit.ratePerSecond >= rate);
+        CPPUNIT_ASSERT(limit.ratePerSecond * 5 + limit.burst <= (rate * 5 + burst) * 1.1 + 20);
+      }
+    }
+    Section("without a tolerance the limit is no higher than configured", [] {
+      const OrganisationLimit limit = EnforcedLimit({ 100, 100 }, { seconds(5), 0, 0 });
+      CPPUNIT_ASSERT(limit.ratePerSecond * 5 + limit.burst <= 600);
+    });
+  }
+
+  void PartsMoveOnlyAfterTheirHolderConfirms()
+  {
+    std::vector<RateMember> members{ { VmId("a"), 0, { { kBlue, 10 } }, false },
+                                     { VmId("b"), 0, { { kBlue, 10 } }, false } };
+    RateAllocation allocation = *PlanRateAllocation({}, members, Limits(100));
+    CPPUNIT_ASSERT(allocation.PartsOf(kBlue, VmId("a")) >= 4900);
+    members[0].demand[kBlue] = 0;
+    members[1].demand[kBlue] = 90;
+    members[0].confirmedVersion = allocation.version;
+    members[1].confirmedVersion = allocation.version;
+    allocation = *PlanRateAllocation(allocation, members, Limits(100));
+    Section("what was taken is not given away yet", [&] {
+      CPPUNIT_ASSERT(allocation.PartsOf(kBlue, VmId("a")) < 3000);
+      CPPUNIT_ASSERT(allocation.PartsOf(kBlue, VmId("b")) <= 5100);
+    });
+    Section("nor while only the other VM confirms", [&] {
+      members[1].confirmedVersion = allocation.version;
+      const auto next = PlanRateAllocation(allocation, members, Limits(100));
+      CPPUNIT_ASSERT(!next || next->PartsOf(kBlue, VmId("b")) <= 5100);
+    });
+    Section("it is once the holder has confirmed", [&] {
+      members[0].confirmedVersion = allocation.version;
+      allocation = *PlanRateAllocation(allocation, members, Limits(100));
+      CPPUNIT_ASSERT(allocation.PartsOf(kBlue, VmId("b")) > 7000);
+      CPPUNIT_ASSERT(SumOfParts(allocation) <= kRateParts);
+    });
+  }
+
+  void LapsedVmsGiveUpTheirParts()
+  {
+    std::vector<RateMember> members{ { VmId("a"), 0, {}, false }, { VmId("b"), 0, {}, false } };
+    RateAllocation allocation = *PlanRateAllocation({}, members, Limits(100));
+    members[1].hasLapsed = true;
+    members[0].demand[kBlue] = 80;
+    allocation = *PlanRateAllocation(allocation, members, Limits(100));
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t(0), allocation.PartsOf(kBlue, VmId("b")));
+    CPPUNIT_ASSERT(allocation.PartsOf(kBlue, VmId("a")) > 9000);
+    Section("a VM whose row has gone counts as lapsed", [&] {
+      members.erase(members.begin());
+      members[0].hasLapsed = false;
+      allocation = *PlanRateAllocation(allocation, members, Limits(100));
+      CPPUNIT_ASSERT_EQUAL(std::uint32_t(0), allocation.PartsOf(kBlue, VmId("a")));
+    });
+  }
+
+  void SharesFollowDemand()
+  {
+    std::vector<RateMember> members;
+    for (const char* vm : { "a", "b", "c", "d", "e", "f" }) {
+      members.push_back({ VmId(vm), 0, { { kBlue, 4 } }, false });
+    }
+    members[2].demand[kBlue] = 40;
+    RateAllocation allocation;
+    for (int round = 0; round < 4; ++round) {
+      auto next = PlanRateAllocation(allocation, members, Limits(100));
+      if (!next) {
+        break;
+      }
+      allocation = std::move(*next);
+      for (RateMember& member : members) {
+        member.confirmedVersion = allocation.version;
+      }
+    }
+    Section("each VM gets what it asks for, with room to spare", [&] {
+      for (const RateMember& member : members) {
+        const double rate = 100.0 * allocation.PartsOf(kBlue, member.vm) / kRateParts;
+        CPPUNIT_ASSERT(rate > 1.1 * member.demand.at(kBlue));
+      }
+    });
+    Section("a division that will do stays as it is",
+            [&] { CPPUNIT_ASSERT(!PlanRateAllocation(allocation, members, Limits(100))); });
+  }
+
+  void ALeaseThatHasEndedStopsTheBuckets()
+  {
+    const Instant start{ seconds(100) };
+    OrganisationBuckets buckets(VmId("a"));
+    RateAllocation allocation;
+    allocation.shares[kBlue][VmId("a")] = { kRateParts, kRateParts, 1 };
+    buckets.Configure(start, Limits(100), allocation);
+    buckets.SetLease(start + seconds(5));
+    CPPUNIT_ASSERT(buckets.TryTake(start + seconds(4), kBlue));
+    CPPUNIT_ASSERT(!buckets.TryTake(start + seconds(5), kBlue));
+    CPPUNIT_ASSERT(!buckets.NextToken(start + seconds(5), kBlue));
+  }
+
+  void WindowsKeepTheToleranceInSeededHistories()
+  {
+    for (unsigned seed = 1; seed <= 20; ++seed) {
+      this->RunHistory(seed);
+    }
+  }
+
+  void EncodedAllocationsAreReadBack()
+  {
+    RateAllocation allocation;
+    allocation.version = 7;
+    allocation.shares[kBlue][VmId("a")] = { 4000, 5000, 6 };
+    const std::string bytes = EncodeRateAllocation(allocation);
+    CPPUNIT_ASSERT(DecodeRateAllocation(bytes) == allocation);
+    CPPUNIT_ASSERT(!DecodeRateAllocation("no such thing"));
+    CPPUNIT_ASSERT(!DecodeRateAllocation(bytes.substr(0, bytes.size() - 1)));
+  }
+
+private:
+  /** VMs read the allocation late, die, start again without tokens, and are flooded; operations in
+      any window of 5 s have to keep the tolerance. */
+  void RunHistory(unsigned aSeed)
+  {
+    std::mt19937 random(aSeed);
+    const auto limits = Limits(40);
+    const RateTolerance tolerance;
+    Instant now{ seconds(100) };
+    std::vector<HistoryVm> vms;
+    for (int index = 0; index < 6; ++index) {
+      const VmId id("vm-" + std::to_string(index));
+      vms.push_back({ id, OrganisationBuckets(id, tolerance), {}, true, 10.0 });
+    }
+    RateAllocation allocation;
+    std::deque<Instant> admitted;
+    const double bound = (40 * 5 + 40) * 1.1 + 20;
+    for (int step = 0; step < 3000; ++step) {
+      now += milliseconds(20);
+      if (step % 50 == 0) {
+        this->Shake(random, vms, now, tolerance);
+        this->Divide(vms, allocation, limits);
+      }
+      for (HistoryVm& vm : vms) {
+        this->MaybeRead(random, vm, allocation, limits, now);
+        std::poisson_distribution<int> arrivals(vm.demand * 0.02);
+        for (int left = vm.isUp ? arrivals(random) : 0; left > 0; --left) {
+          vm.buckets.CountDemand(now, kBlue);
+          if (vm.buckets.TryTake(now, kBlue)) {
+            admitted.push_back(now);
+          }
+        }
+      }
+      while (!admitted.empty() && now - admitted.front() > tolerance.window) {
+        admitted.pop_front();
+      }
+      CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(aSeed) + " step " + std::to_string(step),
+                             static_cast<double>(admitted.size()) <= bound);
+    }
+  }
+
+  void Shake(std::mt19937& aRandom,
+             std::vector<HistoryVm>& aVms,
+             Instant aNow,
+             const RateTolerance& aTolerance)
+  {
+    for (HistoryVm& vm : aVms) {
+      vm.buckets.SetLease(aNow + seconds(5));
+      if (aRandom() % 20 == 0) {
+        vm.demand = static_cast<double>(aRandom() % 120);
+      }
+      if (aRandom() % 40 == 0) {
+        // Killed and started again: what is in force is read anew.
+        vm.buckets = OrganisationBuckets(vm.id, aTolerance);
+        vm.inForce = RateAllocation{};
+      }
+    }
+  }
+
+  void Divide(const std::vector<HistoryVm>& aVms,
+              RateAllocation& aAllocation,
+              const std::map<OrganisationName, OrganisationLimit>& aLimits)
+  {
+    std::vector<RateMember> members;
+    for (const HistoryVm& vm : aVms) {
+      members.push_back({ vm.id, vm.inForce.version, { { kBlue, vm.demand } }, false });
+    }
+    if (auto next = PlanRateAllocation(aAllocation, members, aLimits)) {
+      aAllocation = std::move(*next);
+    }
+    for (const auto& [vm, share] : aAllocation.shares[kBlue]) {
+      CPPUNIT_ASSERT(share.ceiling >= share.parts);
+    }
+    CPPUNIT_ASSERT(SumOfParts(aAllocation) <= kRateParts);
+  }
+
+  void MaybeRead(std::mt19937& aRandom,
+                 HistoryVm& aVm,
+                 const RateAllocation& aAllocation,
+                 const std::map<OrganisationName, OrganisationLimit>& aLimits,
+                 Instant aNow)
+  {
+    if (aRandom() % 100 == 0) {
+      aVm.inForce = aAllocation;
+      aVm.buckets.Configure(aNow, aLimits, aAllocation);
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RateAllocationTest);
+
+} // namespace mustardshift::proxy
