Follow tables from the version of a stale read; move only the rate parts that are lacking

TableFollowerTest AStaleReadMissesNothing... failed before. Connections of a VM without a lease are given back.

--- a/packages/proxy/SessionProxy.h
+++ b/packages/proxy/SessionProxy.h
@@ -254,16 +254,27 @@
 
   void OnFleetRead(Instant aNow)
   {
-    const auto members = this->fleet.Members();
+    this->ShareConnections(aNow);
+    this->driver.Step(aNow, this->coordinator.LeaseUntil());
+  }
+
+  /** The connections of a VM whose lease has ended go to the others. */
+  void ShareConnections(Instant aNow)
+  {
+    if (!this->coordinator.IsReady(aNow)) {
+      this->pool.SetFleetSize(std::nullopt);
+      return;
+    }
+    const auto& members = this->fleet.Members();
     const auto live = std::count_if(members.begin(), members.end(), [&](const auto& aEntry) {
       return !this->fleet.HasLapsed(aEntry.first);
     });
     this->pool.SetFleetSize(std::max<std::size_t>(1, static_cast<std::size_t>(live)));
-    this->driver.Step(aNow, this->coordinator.LeaseUntil());
   }
 
   void Check(Instant aNow)
   {
+    this->ShareConnections(aNow);
     this->RemoveGoneServers(aNow);
     this->prober.Step(aNow);
     this->coordinator.SetUnreachable(aNow, this->prober.UnreachablePrimaries(aNow));
--- a/packages/proxy/coordination/TableFollower.h
+++ b/packages/proxy/coordination/TableFollower.h
@@ -93,8 +93,12 @@
     this->failures = 0;
     this->isWhole = true;
     aHandler(aNow, aRows->rows);
-    this->version = std::max(this->version, aRows->version);
-    this->handlers.confirmed(aSentAt);
+    // A whole read can be behind what was seen before; the watch then brings the changes since.
+    this->version = aRows->version;
+    if (this->version >= this->latestVersion) {
+      this->latestVersion = this->version;
+      this->handlers.confirmed(aSentAt);
+    }
     this->Watch(aNow);
   }
 
@@ -112,7 +116,8 @@
     }
     const Duration pause =
       std::min(kLastPause, kFirstPause * (1 << std::min(this->failures - 1, kMostDoublings)));
-    this->scheduler.Schedule(aNow + (aFailure == StoreFailure::HistoryLost ? Duration(0) : pause),
+    this->scheduler.Schedule(aNow +
+                               (aFailure == StoreFailure::HistoryLost ? kHistoryLostPause : pause),
                              [this](Instant aThen) {
                                if (this->isWhole) {
                                  this->Watch(aThen);
@@ -123,6 +128,9 @@
   }
 
   static constexpr int kMostDoublings = 4;
+  /** Pause before the whole read after a lost history; keeps a store that loses it again and again
+      from being asked without end. */
+  static constexpr Duration kHistoryLostPause = std::chrono::milliseconds(20);
 
   Store& store;
   Scheduler& scheduler;
@@ -130,7 +138,10 @@
   std::string table;
   Duration wait;
   Handlers handlers;
+  /** Version of the copy. */
   std::uint64_t version = 0;
+  /** Latest version that the store has shown. */
+  std::uint64_t latestVersion = 0;
   bool isWhole = false;
   int failures = 0;
 };
--- a/packages/proxy/pool/ServerPool.h
+++ b/packages/proxy/pool/ServerPool.h
@@ -55,10 +55,11 @@
   ServerPool& operator=(const ServerPool&) = delete;
   ~ServerPool() = default;
 
-  /** Sets the number of VMs that share each server's connections. Precondition: aCount > 0. */
-  void SetFleetSize(std::size_t aCount)
+  /** Sets the number of VMs that share each server's connections. Without a number this VM's part
+      may have gone to others, and it keeps one connection a server. Precondition: not zero. */
+  void SetFleetSize(std::optional<std::size_t> aCount)
   {
-    MUSTARDSHIFT_ASSERT(aCount > 0);
+    MUSTARDSHIFT_ASSERT(aCount != std::size_t(0));
     this->fleetSize = aCount;
   }
 
@@ -193,7 +194,7 @@
     const auto& limits = this->cluster.Configuration().connectionLimits;
     const auto limit = limits.find(aServer.group);
     const std::size_t total = limit == limits.end() ? 1 : limit->second;
-    return std::max<std::size_t>(1, total / this->fleetSize);
+    return this->fleetSize ? std::max<std::size_t>(1, total / *this->fleetSize) : 1;
   }
 
   /** Whether an idle connection may stay open. */
@@ -446,7 +447,7 @@
   ServerHealth& health;
   Scheduler& scheduler;
   EventLog& log;
-  std::size_t fleetSize = 1;
+  std::optional<std::size_t> fleetSize;
   std::map<ServerId, Server> servers;
   /** In order of priority, then of arrival. */
   Waiters waiters;
--- a/packages/proxy/rate/PlanRateAllocation.cpp
+++ b/packages/proxy/rate/PlanRateAllocation.cpp
@@ -13,8 +13,8 @@
 constexpr double kEvenPartWhenScarce = 0.2;
 /** A VM that asks for more than this part of its share needs a new division. */
 constexpr double kTightUse = 0.8;
-/** A VM gives up parts when it has this many times what it should have. */
-constexpr double kTooMuch = 1.3;
+/** A VM with this part of its ideal share is not short. */
+constexpr double kEnough = 0.8;
 /** Smaller differences from the ideal division are left alone. */
 constexpr std::uint32_t kLeastMove = 100;
 
@@ -81,43 +81,92 @@
   return hasChanged;
 }
 
-/** Takes parts from VMs with more than their ideal, and gives free parts to those with less. */
-bool Divide(Shares& aShares, const std::map<VmId, std::uint32_t>& aIdeal, std::uint64_t aVersion)
+/** What a division has to move. */
+struct Balance
 {
-  bool hasChanged = false;
-  std::uint32_t used = 0;
+  /** Parts that VMs well below their ideal lack. */
   std::uint32_t wanted = 0;
+  /** Parts above the ideal of the others. */
+  std::uint32_t surplus = 0;
+  /** Parts that nobody may use, or that will be free once their holders have confirmed. */
+  std::uint32_t unused = 0;
+};
+
+bool IsShort(const RateShare& aShare, std::uint32_t aIdeal)
+{
+  return aShare.parts + kLeastMove < aIdeal && aShare.parts < kEnough * aIdeal;
+}
+
+Balance Weigh(const Shares& aShares, const std::map<VmId, std::uint32_t>& aIdeal)
+{
+  Balance balance;
+  std::uint32_t used = 0;
+  for (const auto& [vm, ideal] : aIdeal) {
+    const RateShare& share = aShares.at(vm);
+    balance.wanted += IsShort(share, ideal) ? ideal - share.parts : 0;
+    balance.surplus += share.parts > ideal ? share.parts - ideal : 0;
+    used += share.parts;
+  }
+  balance.unused = kRateParts - std::min(used, kRateParts);
+  return balance;
+}
+
+/** Takes from VMs above their ideal what the others lack, each in proportion to its surplus. */
+bool Take(Shares& aShares,
+          const std::map<VmId, std::uint32_t>& aIdeal,
+          const Balance& aBalance,
+          std::uint64_t aVersion)
+{
+  if (aBalance.wanted <= aBalance.unused || aBalance.surplus == 0) {
+    return false;
+  }
+  const std::uint64_t taken = std::min(aBalance.wanted - aBalance.unused, aBalance.surplus);
   for (const auto& [vm, ideal] : aIdeal) {
-    RateShare& share = aShares[vm];
-    if (share.parts > kTooMuch * ideal + kLeastMove) {
-      share.parts = ideal;
+    RateShare& share = aShares.at(vm);
+    if (share.parts > ideal) {
+      share.parts -= static_cast<std::uint32_t>(taken * (share.parts - ideal) / aBalance.surplus);
       share.changedIn = aVersion;
-      hasChanged = true;
     }
-    used += share.ceiling;
-    wanted += ideal > share.parts ? ideal - share.parts : 0;
   }
-  const std::uint32_t available = kRateParts - std::min(used, kRateParts);
-  const std::uint32_t gift = std::min(wanted, available);
+  return true;
+}
+
+/** Gives parts that nobody may use any more to VMs below their ideal. */
+bool Give(Shares& aShares,
+          const std::map<VmId, std::uint32_t>& aIdeal,
+          const Balance& aBalance,
+          std::uint64_t aVersion)
+{
+  std::uint32_t held = 0;
+  for (const auto& [vm, share] : aShares) {
+    held += share.ceiling;
+  }
+  const std::uint64_t gift = std::min(aBalance.wanted, kRateParts - std::min(held, kRateParts));
   if (gift == 0) {
-    return hasChanged;
+    return false;
   }
   for (const auto& [vm, ideal] : aIdeal) {
-    RateShare& share = aShares[vm];
-    if (ideal <= share.parts) {
-      continue;
-    }
-    const auto given =
-      static_cast<std::uint32_t>(static_cast<std::uint64_t>(gift) * (ideal - share.parts) / wanted);
-    if (given == 0 || (given < kLeastMove && share.parts > 0)) {
+    RateShare& share = aShares.at(vm);
+    if (!IsShort(share, ideal)) {
       continue;
     }
+    const auto given = static_cast<std::uint32_t>(gift * (ideal - share.parts) / aBalance.wanted);
     share.parts += given;
-    share.ceiling = share.parts > share.ceiling ? share.ceiling + given : share.ceiling;
+    share.ceiling += given;
     share.changedIn = aVersion;
-    hasChanged = true;
   }
-  return hasChanged;
+  return true;
+}
+
+bool Divide(Shares& aShares, const std::map<VmId, std::uint32_t>& aIdeal, std::uint64_t aVersion)
+{
+  for (const auto& [vm, ideal] : aIdeal) {
+    aShares.try_emplace(vm);
+  }
+  const Balance balance = Weigh(aShares, aIdeal);
+  const bool hasTaken = Take(aShares, aIdeal, balance, aVersion);
+  const bool hasGiven = Give(aShares, aIdeal, balance, aVersion);
+  return hasTaken || hasGiven;
 }
 
 } // namespace
--- /dev/null
+++ b/packages/proxy/tests/FakeStore.cpp
@@ -0,0 +1,160 @@
+#include "proxy/tests/FakeStore.h"
+
+#include <algorithm>
+
+namespace mustardshift::proxy::test {
+
+StoreConduct FakeStore::ConductOf(const std::string& aCall)
+{
+  ++this->calls;
+  return this->conduct ? this->conduct(aCall) : StoreConduct::Answer;
+}
+
+template<class Handler, class Value>
+void FakeStore::AnswerLater(Duration aTime, const Handler& aHandler, Value aValue)
+{
+  this->scheduler.Schedule(
+    this->now + aTime,
+    [handler = aHandler, value = std::move(aValue)](Instant aNow) { handler(aNow, value); });
+}
+
+void FakeStore::Read(const std::string& aTable, RowsHandler aHandler)
+{
+  const StoreConduct what = this->ConductOf("read");
+  using Result = tl::expected<StoredRows, StoreFailure>;
+  if (what == StoreConduct::Refuse) {
+    this->AnswerLater(kAnswerTime, aHandler, Result(tl::unexpected(StoreFailure::Refused)));
+    return;
+  }
+  if (what != StoreConduct::Answer) {
+    this->AnswerLater(kNoAnswerTime, aHandler, Result(tl::unexpected(StoreFailure::NoAnswer)));
+    return;
+  }
+  StoredRows rows;
+  rows.version = this->staleTables ? this->staleTables->second : this->version;
+  for (const auto& [key, row] :
+       (this->staleTables ? this->staleTables->first : this->tables)[aTable]) {
+    if (!row.isRemoved) {
+      rows.rows.push_back(row);
+    }
+  }
+  this->AnswerLater(kAnswerTime, aHandler, Result(std::move(rows)));
+}
+
+void FakeStore::ReadStale()
+{
+  this->staleTables.emplace(this->tables, this->version);
+}
+
+StoredRows FakeStore::ChangesSince(const std::string& aTable, std::uint64_t aAfter) const
+{
+  StoredRows changes;
+  changes.version = this->version;
+  const auto table = this->tables.find(aTable);
+  if (table == this->tables.end()) {
+    return changes;
+  }
+  for (const auto& [key, row] : table->second) {
+    if (row.version > aAfter) {
+      changes.rows.push_back(row);
+    }
+  }
+  std::sort(changes.rows.begin(), changes.rows.end(), [](const auto& aLeft, const auto& aRight) {
+    return aLeft.version < aRight.version;
+  });
+  return changes;
+}
+
+void FakeStore::Watch(const std::string& aTable,
+                      std::uint64_t aAfter,
+                      Duration aWait,
+                      RowsHandler aHandler)
+{
+  this->watchedAfter.push_back(aAfter);
+  const StoreConduct what = this->ConductOf("watch");
+  using Result = tl::expected<StoredRows, StoreFailure>;
+  if (what == StoreConduct::Refuse) {
+    this->AnswerLater(kAnswerTime, aHandler, Result(tl::unexpected(StoreFailure::Refused)));
+    return;
+  }
+  if (what != StoreConduct::Answer) {
+    this->AnswerLater(
+      aWait + kNoAnswerTime, aHandler, Result(tl::unexpected(StoreFailure::NoAnswer)));
+    return;
+  }
+  if (aAfter < this->historyStart || std::exchange(this->historyLostOnce, false)) {
+    this->AnswerLater(kAnswerTime, aHandler, Result(tl::unexpected(StoreFailure::HistoryLost)));
+    return;
+  }
+  this->watches.push_back({ aTable, aAfter, this->now + aWait, std::move(aHandler) });
+  this->scheduler.Schedule(this->now + kAnswerTime, [this](Instant aNow) {
+    this->now = aNow;
+    this->ServeWatches();
+  });
+  this->scheduler.Schedule(this->now + aWait, [this](Instant aNow) {
+    this->now = aNow;
+    this->ServeWatches();
+  });
+}
+
+void FakeStore::ServeWatches()
+{
+  const std::vector<PendingWatch> pending = std::exchange(this->watches, {});
+  for (const PendingWatch& watch : pending) {
+    StoredRows changes = this->ChangesSince(watch.table, watch.after);
+    if (changes.rows.empty() && this->now < watch.until) {
+      this->watches.push_back(watch);
+      continue;
+    }
+    this->AnswerLater(
+      kAnswerTime, watch.handler, tl::expected<StoredRows, StoreFailure>(std::move(changes)));
+  }
+}
+
+void FakeStore::Change(const std::string& aTable, StoredRow aRow)
+{
+  aRow.version = ++this->version;
+  const std::string key = aRow.key;
+  this->tables[aTable][key] = std::move(aRow);
+  this->ServeWatches();
+}
+
+void FakeStore::Put(const std::string& aTable, const std::string& aKey, const std::string& aValue)
+{
+  this->Change(aTable, { aKey, aValue, 0, false });
+}
+
+void FakeStore::Remove(const std::string& aTable, const std::string& aKey)
+{
+  this->Change(aTable, { aKey, "", 0, true });
+}
+
+void FakeStore::Write(const RowChange& aChange, ChangeHandler aHandler)
+{
+  const StoreConduct what = this->ConductOf("write");
+  using Result = tl::expected<std::uint64_t, StoreFailure>;
+  if (what == StoreConduct::Refuse) {
+    this->AnswerLater(kAnswerTime, aHandler, Result(tl::unexpected(StoreFailure::Refused)));
+    return;
+  }
+  if (what == StoreConduct::Ignore) {
+    this->AnswerLater(kNoAnswerTime, aHandler, Result(tl::unexpected(StoreFailure::NoAnswer)));
+    return;
+  }
+  const auto& table = this->tables[aChange.table];
+  const auto present = table.find(aChange.key);
+  const std::uint64_t presentVersion =
+    present == table.end() || present->second.isRemoved ? 0 : present->second.version;
+  if (aChange.expectedVersion && *aChange.expectedVersion != presentVersion) {
+    this->AnswerLater(kAnswerTime, aHandler, Result(tl::unexpected(StoreFailure::Conflict)));
+    return;
+  }
+  this->Change(aChange.table, { aChange.key, aChange.value, 0, false });
+  if (what == StoreConduct::LoseAnswer) {
+    this->AnswerLater(kNoAnswerTime, aHandler, Result(tl::unexpected(StoreFailure::NoAnswer)));
+    return;
+  }
+  this->AnswerLater(kAnswerTime, aHandler, Result(this->version));
+}
+
+} // namespace mustardshift::proxy::test
--- /dev/null
+++ b/packages/proxy/tests/FakeStore.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "proxy/coordination/TableStore.h"
+#include "proxy/schedule/Scheduler.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace mustardshift::proxy::test {
+
+/** What a fake store does with a call. */
+enum class StoreConduct
+{
+  Answer,
+  Refuse,
+  /** Does nothing and gives no answer. */
+  Ignore,
+  /** Does it and gives no answer. */
+  LoseAnswer,
+};
+
+/** A table store in memory, in virtual time; satisfies TableStore. */
+class FakeStore
+{
+public:
+  static constexpr Duration kAnswerTime = std::chrono::milliseconds(4);
+  static constexpr Duration kNoAnswerTime = std::chrono::milliseconds(1500);
+
+  explicit FakeStore(Scheduler& aScheduler)
+    : scheduler(aScheduler)
+  {
+  }
+
+  /** See TableStore. */
+  void Read(const std::string& aTable, RowsHandler aHandler);
+  void Watch(const std::string& aTable, std::uint64_t aAfter, Duration aWait, RowsHandler aHandler);
+  void Write(const RowChange& aChange, ChangeHandler aHandler);
+
+  /** Writes from outside the system, at once. */
+  void Put(const std::string& aTable, const std::string& aKey, const std::string& aValue);
+  void Remove(const std::string& aTable, const std::string& aKey);
+  /** Forgets the history: watches from a version before the present one fail. */
+  void Compact() { this->historyStart = this->version; }
+  /** Whole reads answer with the table as it is now, until ReadFresh(). */
+  void ReadStale();
+  void ReadFresh() { this->staleTables.reset(); }
+
+  /** Decides about each call by its name: "read", "watch", "write". */
+  std::function<StoreConduct(const std::string&)> conduct;
+  /** The next watch fails because its history is lost. */
+  bool historyLostOnce = false;
+  Instant now{};
+  std::uint64_t version = 0;
+  std::size_t calls = 0;
+  /** Versions that watches asked to continue from. */
+  std::vector<std::uint64_t> watchedAfter;
+
+private:
+  using Table = std::map<std::string, StoredRow>;
+  struct PendingWatch
+  {
+    std::string table;
+    std::uint64_t after = 0;
+    Instant until{};
+    RowsHandler handler;
+  };
+
+  StoreConduct ConductOf(const std::string& aCall);
+  template<class Handler, class Value>
+  void AnswerLater(Duration aTime, const Handler& aHandler, Value aValue);
+  void Change(const std::string& aTable, StoredRow aRow);
+  StoredRows ChangesSince(const std::string& aTable, std::uint64_t aAfter) const;
+  void ServeWatches();
+
+  Scheduler& scheduler;
+  std::map<std::string, Table> tables;
+  std::optional<std::pair<std::map<std::string, Table>, std::uint64_t>> staleTables;
+  std::uint64_t historyStart = 0;
+  std::vector<PendingWatch> watches;
+};
+
+} // namespace mustardshift::proxy::test
--- a/packages/proxy/tests/SessionFixture.cpp
+++ b/packages/proxy/tests/SessionFixture.cpp
@@ -27,6 +27,7 @@
   }
   this->buckets.Configure(
     this->now - seconds(10), this->cluster.Configuration().limits, allocation);
+  this->pool.SetFleetSize(1);
   this->Confirm();
 }
 
--- /dev/null
+++ b/packages/proxy/tests/TableFollowerTest.cpp
@@ -0,0 +1,158 @@
+#include "proxy/coordination/TableFollower.h"
+#include "proxy/tests/FakeStore.h"
+#include "support/Section.h"
+
+#include <chrono>
+#include <cppunit/extensions/HelperMacros.h>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace mustardshift::proxy {
+
+using mustardshift::test::Section;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using test::FakeStore;
+using test::StoreConduct;
+
+namespace {
+
+/** A follower of table "servers" and the copy that it keeps. */
+struct FollowerFixture
+{
+  FollowerFixture() { this->store.now = this->now; }
+
+  void Advance(Duration aTime)
+  {
+    const Instant end = this->now + aTime;
+    while (this->scheduler.NextDue() && *this->scheduler.NextDue() <= end) {
+      this->now = std::max(this->now, *this->scheduler.NextDue());
+      this->store.now = this->now;
+      this->scheduler.RunDue(this->now);
+    }
+    this->now = end;
+    this->store.now = this->now;
+  }
+
+  void Take(const std::vector<StoredRow>& aRows)
+  {
+    for (const StoredRow& row : aRows) {
+      if (row.isRemoved) {
+        this->copy.erase(row.key);
+      } else {
+        this->copy[row.key] = row.value;
+      }
+    }
+  }
+
+  Instant now{ seconds(1000) };
+  Scheduler scheduler;
+  EventLog log{ [](const std::string&) {}, 1000 };
+  FakeStore store{ this->scheduler };
+  std::map<std::string, std::string> copy;
+  std::optional<Instant> confirmed;
+  TableFollower<FakeStore> follower{ store,
+                                     scheduler,
+                                     log,
+                                     "servers",
+                                     milliseconds(1500),
+                                     { [this](Instant, const auto& aRows) {
+                                        this->copy.clear();
+                                        this->Take(aRows);
+                                      },
+                                       [this](Instant, const auto& aRows) { this->Take(aRows); },
+                                       [this](Instant aAsOf) { this->confirmed = aAsOf; } } };
+};
+
+} // namespace
+
+/** Guards against copies that miss a change for good, and against confirmations that claim more
+    than the store has said. */
+class TableFollowerTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(TableFollowerTest);
+  CPPUNIT_TEST(FollowsChanges);
+  CPPUNIT_TEST(ReadsAgainWhenTheHistoryIsLost);
+  CPPUNIT_TEST(AStaleReadMissesNothingAndConfirmsNothing);
+  CPPUNIT_TEST(SilenceConfirmsNothing);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void FollowsChanges()
+  {
+    FollowerFixture fixture;
+    fixture.store.Put("servers", "s1", "a");
+    fixture.follower.Start(fixture.now);
+    fixture.Advance(milliseconds(10));
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), fixture.copy.at("s1"));
+    fixture.store.Put("servers", "s1", "b");
+    fixture.store.Put("servers", "s2", "c");
+    fixture.Advance(milliseconds(20));
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), fixture.copy.at("s1"));
+    CPPUNIT_ASSERT_EQUAL(std::string("c"), fixture.copy.at("s2"));
+    fixture.store.Remove("servers", "s1");
+    fixture.Advance(milliseconds(20));
+    CPPUNIT_ASSERT(!fixture.copy.contains("s1"));
+  }
+
+  void ReadsAgainWhenTheHistoryIsLost()
+  {
+    FollowerFixture fixture;
+    fixture.follower.Start(fixture.now);
+    fixture.Advance(milliseconds(10));
+    fixture.store.conduct = [](const std::string&) { return StoreConduct::Refuse; };
+    fixture.Advance(seconds(3));
+    fixture.store.Put("servers", "s1", "a");
+    fixture.store.Compact();
+    fixture.store.conduct = nullptr;
+    fixture.Advance(seconds(2));
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), fixture.copy.at("s1"));
+  }
+
+  void AStaleReadMissesNothingAndConfirmsNothing()
+  {
+    FollowerFixture fixture;
+    fixture.follower.Start(fixture.now);
+    fixture.Advance(milliseconds(10));
+    fixture.store.ReadStale();
+    fixture.store.Put("servers", "s1", "a");
+    fixture.Advance(milliseconds(20));
+    CPPUNIT_ASSERT(fixture.copy.contains("s1"));
+    // The watch fails, and the whole read that follows shows the table without s1.
+    fixture.store.historyLostOnce = true;
+    const std::size_t watches = fixture.store.watchedAfter.size();
+    while (fixture.store.watchedAfter.size() < watches + 2) {
+      fixture.Advance(milliseconds(1));
+    }
+    Section("the watch goes on from the version of the stale read",
+            [&] { CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), fixture.store.watchedAfter.back()); });
+    Section("which confirms nothing",
+            [&] { CPPUNIT_ASSERT(*fixture.confirmed < fixture.now - milliseconds(1400)); });
+    Section("and brings the change back", [&] {
+      fixture.Advance(milliseconds(20));
+      CPPUNIT_ASSERT(fixture.copy.contains("s1"));
+    });
+  }
+
+  void SilenceConfirmsNothing()
+  {
+    FollowerFixture fixture;
+    fixture.follower.Start(fixture.now);
+    fixture.Advance(milliseconds(10));
+    const Instant silentSince = fixture.now;
+    fixture.store.conduct = [](const std::string&) { return StoreConduct::Ignore; };
+    fixture.Advance(seconds(20));
+    CPPUNIT_ASSERT(*fixture.confirmed <= silentSince + milliseconds(1500));
+    Section("a confirmation dates from before the request that gave it", [&] {
+      fixture.store.conduct = nullptr;
+      fixture.Advance(seconds(6));
+      CPPUNIT_ASSERT(*fixture.confirmed > silentSince + seconds(10));
+      CPPUNIT_ASSERT(*fixture.confirmed <= fixture.now - milliseconds(1500));
+    });
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TableFollowerTest);
+
+} // namespace mustardshift::proxy
