--- a/packages/proxy/ProxySettings.h
+++ b/packages/proxy/ProxySettings.h
@@ -13,8 +13,9 @@
   VmId vm;
   /** How long a configuration may be used for requests with a key after it was last confirmed. */
   Duration keyTrust = std::chrono::milliseconds(4800);
-  /** Longest hold of a watch on the configuration; its confirmation is up to twice as old. */
-  Duration configurationWatch = std::chrono::milliseconds(1500);
+  /** Longest hold of a watch on the configuration. Its confirmation is up to twice as old, and the
+      rest of keyTrust is how long requests with a key are served without the store. */
+  Duration configurationWatch = std::chrono::milliseconds(800);
   /** Longest hold of a watch on the list of servers. */
   Duration serverWatch = std::chrono::milliseconds(5000);
   /** An idle connection to a server is closed after this time; servers do so after 60 s. */
--- a/packages/proxy/rate/PlanRateAllocation.cpp
+++ b/packages/proxy/rate/PlanRateAllocation.cpp
@@ -6,11 +6,10 @@
 
 namespace {
 
-/** Part of the spare rate that is divided evenly, so that clients that move are served at once; the
-    rest follows the demand. */
-constexpr double kEvenPart = 0.5;
-/** Part that is divided evenly when the demand exceeds the rate. */
-constexpr double kEvenPartWhenScarce = 0.2;
+/** What a VM asks for is covered this many times by its part of the division by demand. */
+constexpr double kHeadroom = 1.3;
+/** Part that is divided evenly in any case, so that clients that move are served at once. */
+constexpr double kLeastEvenPart = 0.2;
 /** A VM that asks for more than this part of its share needs a new division. */
 constexpr double kTightUse = 0.8;
 /** A VM with this part of its ideal share is not short. */
@@ -26,7 +25,8 @@
   return found == aMember.demand.end() ? 0.0 : found->second;
 }
 
-/** Divides the whole: what each VM asks for, and the rest partly evenly, partly by demand. */
+/** Divides the whole: what each VM asks for with some headroom, and the rest evenly. Little demand
+    thus moves little: a few requests say nothing of where the next ones will come. */
 std::map<VmId, std::uint32_t> IdealParts(const OrganisationName& aOrganisation,
                                          const std::vector<const RateMember*>& aLive,
                                          double aRate)
@@ -37,8 +37,8 @@
     total += DemandOf(aOrganisation, *member);
   }
   const auto count = static_cast<double>(aLive.size());
-  const double asked = aRate > 0 ? std::min(1.0, total / aRate) : 1.0;
-  const double even = total > 0 ? std::max(kEvenPartWhenScarce, kEvenPart * (1 - asked)) : 1.0;
+  const double asked = aRate > 0 ? total / aRate : 1.0;
+  const double even = std::max(kLeastEvenPart, 1 - kHeadroom * asked);
   for (const RateMember* member : aLive) {
     const double byDemand = total > 0 ? DemandOf(aOrganisation, *member) / total : 0.0;
     ideal[member->vm] =
--- a/packages/proxy/session/ClientSession.h
+++ b/packages/proxy/session/ClientSession.h
@@ -179,6 +179,8 @@
     Path path = Path::Primary;
     std::optional<LogPosition> floor;
     typename ServerPool<Network>::Ticket ticket = 0;
+    /** Time until the latest connection was there. */
+    Duration waited{ 0 };
     /** A script is under way on `connection`. */
     bool isRunning = false;
     std::optional<Scheduler::TaskId> deadlineTimer;
@@ -302,6 +304,10 @@
       this->ReplyError(aNow, ErrorCode::UnknownStatement, "no such prepared statement");
       return;
     }
+    if (this->transaction != Transaction::Open && !this->organisation.IsEmpty()) {
+      // Counted whether it is served or not, so that the rate is divided by what clients want.
+      this->context.buckets.CountDemand(aNow, this->organisation);
+    }
     if (const std::optional<ErrorCode> refusal = this->CheckAccess(aNow)) {
       this->Fail(aNow, *refusal, "the configuration in force doesn't allow it");
       return;
@@ -324,9 +330,6 @@
       this->RunStatement(aNow);
       return;
     }
-    if (!this->route.isPublic) {
-      this->context.buckets.CountDemand(aNow, this->organisation);
-    }
     this->TakeToken(aNow);
   }
 
@@ -461,6 +464,7 @@
       return;
     }
     this->flight->ticket = 0;
+    this->flight->waited = aNow - this->flight->startedAt;
     if (aConnection == nullptr) {
       this->Fail(aNow, ErrorCode::Busy, "no connection became free in time");
       return;
@@ -963,6 +967,7 @@
         { "why", aReply.message },
         { "tries", std::to_string(this->flight->tries) },
         { "us", std::to_string((aNow - this->flight->startedAt).count()) },
+        { "waited_us", std::to_string(this->flight->waited.count()) },
         { "configuration", this->VersionText() },
         { "confirmed_ms",
           std::to_string((aNow - this->context.cluster.ConfirmedAt()).count() / 1000) } });
--- a/packages/proxy/tests/RateAllocationTest.cpp
+++ b/packages/proxy/tests/RateAllocationTest.cpp
@@ -56,6 +56,7 @@
   CPPUNIT_TEST(PartsMoveOnlyAfterTheirHolderConfirms);
   CPPUNIT_TEST(LapsedVmsGiveUpTheirParts);
   CPPUNIT_TEST(SharesFollowDemand);
+  CPPUNIT_TEST(LittleDemandMovesLittle);
   CPPUNIT_TEST(ALeaseThatHasEndedStopsTheBuckets);
   CPPUNIT_TEST(WindowsKeepTheToleranceInSeededHistories);
   CPPUNIT_TEST(EncodedAllocationsAreReadBack);
@@ -150,6 +151,29 @@
             [&] { CPPUNIT_ASSERT(!PlanRateAllocation(allocation, members, Limits(100))); });
   }
 
+  /** After an outage the first request of an organisation arrives at one VM; the next ones come
+      anywhere. */
+  void LittleDemandMovesLittle()
+  {
+    std::vector<RateMember> members;
+    for (const char* vm : { "a", "b", "c", "d", "e", "f" }) {
+      members.push_back({ VmId(vm), 0, {}, false });
+    }
+    RateAllocation allocation = *PlanRateAllocation({}, members, Limits(20));
+    members[0].demand[kBlue] = 2.7;
+    for (int round = 0; round < 4; ++round) {
+      for (RateMember& member : members) {
+        member.confirmedVersion = allocation.version;
+      }
+      if (auto next = PlanRateAllocation(allocation, members, Limits(20))) {
+        allocation = std::move(*next);
+      }
+    }
+    for (const RateMember& member : members) {
+      CPPUNIT_ASSERT(allocation.PartsOf(kBlue, member.vm) > 0.7 * kRateParts / 6);
+    }
+  }
+
   void ALeaseThatHasEndedStopsTheBuckets()
   {
     const Instant start{ seconds(100) };
