Lend rate tokens between VMs; claim the promotion duty ahead of need

A primary's replacement waited 2.3 s for the first claim of the duty and for the next read of the fleet's table.

--- a/packages/adapters/settings/SessionSettings.h
+++ b/packages/adapters/settings/SessionSettings.h
@@ -16,6 +16,8 @@
   std::string sessionsAddress;
   /** The load balancer's probe. */
   std::string readinessAddress;
+  /** Datagrams of other VMs; empty for none. */
+  std::string peerAddress;
   /** Metrics as text; empty for none. */
   std::string metricsAddress;
   std::string storeAddress;
--- a/packages/adapters/settings/SessionSettingsReader.cpp
+++ b/packages/adapters/settings/SessionSettingsReader.cpp
@@ -43,6 +43,7 @@
                 "failure_domain",
                 "sessions_address",
                 "readiness_address",
+                "peer_address",
                 "metrics_address",
                 "store_address",
                 "orders_address",
@@ -58,6 +59,7 @@
   settings.failureDomain = FailureDomainName(top.Identifier("failure_domain"));
   settings.sessionsAddress = top.Address("sessions_address");
   settings.readinessAddress = top.Address("readiness_address");
+  settings.peerAddress = top.Address("peer_address", std::string());
   settings.metricsAddress = top.Address("metrics_address", std::string());
   settings.storeAddress = top.Address("store_address");
   settings.ordersAddress = top.Address("orders_address");
--- a/packages/proxy/ProxySettings.h
+++ b/packages/proxy/ProxySettings.h
@@ -5,12 +5,19 @@
 #include "proxy/rate/RateTolerance.h"
 #include "proxy/session/SessionTimings.h"
 
+#include <cstdint>
+#include <string>
+
 namespace mustardshift::proxy {
 
 /** Settings of the session proxy's decisions. */
 struct ProxySettings
 {
   VmId vm;
+  /** Where other VMs send datagrams, "IP:port"; empty for nowhere. */
+  std::string peerAddress;
+  /** Tells this process from earlier ones of the VM. */
+  std::uint64_t incarnation = 0;
   /** How long a configuration may be used for requests with a key after it was last confirmed. */
   Duration keyTrust = std::chrono::milliseconds(4800);
   /** Longest hold of a watch on the configuration. Its confirmation is up to twice as old, and the
--- a/packages/proxy/SessionProxy.h
+++ b/packages/proxy/SessionProxy.h
@@ -13,6 +13,8 @@
 #include "proxy/promotion/PrimaryProber.h"
 #include "proxy/promotion/PromotionDriver.h"
 #include "proxy/rate/OrganisationBuckets.h"
+#include "proxy/rate/TokenExchange.h"
+#include "proxy/rate/TokenGate.h"
 #include "proxy/schedule/Scheduler.h"
 #include "proxy/session/ClientSession.h"
 #include "proxy/session/PositionTable.h"
@@ -25,6 +27,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -35,7 +38,11 @@
     database servers, replaces primaries, and makes sessions.
 
     Thread safety: none; one thread owns the object. */
-template<DatabaseNetwork Network, TableStore Store, PromotionOrders Orders, RecordDecoder Decoder>
+template<DatabaseNetwork Network,
+         TableStore Store,
+         PromotionOrders Orders,
+         PeerMessenger Messenger,
+         RecordDecoder Decoder>
 class SessionProxy
 {
 public:
@@ -51,6 +58,7 @@
                Network& aNetwork,
                Store& aStore,
                Orders& aOrders,
+               Messenger& aMessenger,
                Scheduler& aScheduler,
                EventLog& aLog,
                std::function<void(const StatementOutcome&)> aCount)
@@ -71,7 +79,16 @@
              this->health,
              aScheduler,
              aLog)
+    , gate(this->buckets, aScheduler)
+    , exchange(this->settings.vm,
+               this->settings.incarnation,
+               aMessenger,
+               this->fleet,
+               this->buckets,
+               this->gate,
+               aScheduler)
     , coordinator(this->settings.vm,
+                  this->settings.peerAddress,
                   aStore,
                   this->cluster,
                   this->fleet,
@@ -91,9 +108,17 @@
               std::string(Decoder::kServerTable),
               this->settings.serverWatch,
               this->ServerHandlers())
-    , context{ this->cluster,          this->pool,       this->health, this->positions,
-               this->replicaPositions, this->buckets,    aScheduler,   aLog,
-               this->settings.timings, std::move(aCount) }
+    , context{ this->cluster,
+               this->pool,
+               this->health,
+               this->positions,
+               this->replicaPositions,
+               this->buckets,
+               this->gate,
+               aScheduler,
+               aLog,
+               this->settings.timings,
+               std::move(aCount) }
   {
   }
   SessionProxy(const SessionProxy&) = delete;
@@ -123,6 +148,15 @@
       this->context, std::move(aDatabase), std::move(aKeyHash));
   }
 
+  /** Takes a datagram of another VM. */
+  void OnDatagram(Instant aNow, std::string_view aBytes)
+  {
+    if (!this->exchange.OnDatagram(aNow, aBytes)) {
+      this->log.Write(
+        aNow, "peer", "malformed-datagram", { { "bytes", std::to_string(aBytes.size()) } });
+    }
+  }
+
   const ClusterState& Cluster() const { return this->cluster; }
   const ServerPool<Network>& Pool() const { return this->pool; }
   const FleetView& Fleet() const { return this->fleet; }
@@ -296,6 +330,8 @@
   ServerPool<Network> pool;
   PrimaryProber<Network> prober;
   PromotionDriver<Network, Store, Orders> driver;
+  TokenGate gate;
+  TokenExchange<Messenger> exchange;
   FleetCoordinator<Store> coordinator;
   std::set<FailureDomainName> evacuated;
   /** Servers whose entries have gone, and since when. */
--- a/packages/proxy/coordination/FleetCoordinator.h
+++ b/packages/proxy/coordination/FleetCoordinator.h
@@ -35,9 +35,11 @@
   /** Calls without an answer are followed by further ones, up to this number. */
   static constexpr unsigned kMostOverlappingCalls = 3;
 
-  /** @param aOnRead  called after each read of the table.
+  /** @param aPeerAddress  where other VMs send datagrams; empty for nowhere.
+      @param aOnRead       called after each read of the table.
       All references have to outlive the coordinator. */
   FleetCoordinator(VmId aSelf,
+                   std::string aPeerAddress,
                    Store& aStore,
                    ClusterState& aCluster,
                    FleetView& aFleet,
@@ -46,6 +48,7 @@
                    EventLog& aLog,
                    std::function<void(Instant)> aOnRead)
     : self(std::move(aSelf))
+    , peerAddress(std::move(aPeerAddress))
     , store(aStore)
     , cluster(aCluster)
     , fleet(aFleet)
@@ -75,6 +78,7 @@
     this->unreachable = std::move(aUnreachable);
     if (this->hasRead) {
       this->Renew(aNow);
+      this->Read(aNow);
     }
   }
 
@@ -110,8 +114,9 @@
   void ReadAgain(Instant aNow)
   {
     this->Read(aNow);
-    this->scheduler.Schedule(aNow + (this->isUrgent ? kUrgentPeriod : kPeriod),
-                             [this](Instant aThen) { this->ReadAgain(aThen); });
+    this->scheduler.Schedule(
+      aNow + (this->isUrgent || !this->unreachable.empty() ? kUrgentPeriod : kPeriod),
+      [this](Instant aThen) { this->ReadAgain(aThen); });
   }
 
   void OnRows(Instant aNow, Instant aSentAt, const tl::expected<StoredRows, StoreFailure>& aRows)
@@ -178,9 +183,11 @@
       return;
     }
     ++this->writes;
-    const MemberRow row{
-      ++this->sequence, this->inForce.version, this->buckets.Demand(aNow), this->unreachable
-    };
+    const MemberRow row{ ++this->sequence,
+                         this->peerAddress,
+                         this->inForce.version,
+                         this->buckets.Demand(aNow),
+                         this->unreachable };
     this->store.Write(RowChange{ std::string(FleetView::kTable),
                                  FleetView::MemberKey(this->self),
                                  EncodeMemberRow(row),
@@ -236,6 +243,7 @@
   }
 
   VmId self;
+  std::string peerAddress;
   Store& store;
   ClusterState& cluster;
   FleetView& fleet;
--- a/packages/proxy/coordination/MemberRow.cpp
+++ b/packages/proxy/coordination/MemberRow.cpp
@@ -21,6 +21,7 @@
     unreachable.push_back(server.Text());
   }
   return ToCbor({ { "sequence", aRow.sequence },
+                  { "peer", aRow.peerAddress },
                   { "allocation", aRow.allocationVersion },
                   { "demand", std::move(demand) },
                   { "unreachable", std::move(unreachable) } });
@@ -35,6 +36,7 @@
   try {
     MemberRow row;
     row.sequence = value->at("sequence").get<std::uint64_t>();
+    row.peerAddress = value->at("peer").get<std::string>();
     row.allocationVersion = value->at("allocation").get<std::uint64_t>();
     for (const auto& [organisation, tenths] : value->at("demand").items()) {
       row.demand[OrganisationName(organisation)] = tenths.get<double>() / 10;
--- a/packages/proxy/coordination/MemberRow.h
+++ b/packages/proxy/coordination/MemberRow.h
@@ -17,6 +17,8 @@
 {
   /** Counts the writes of one process, so that each changes the row. */
   std::uint64_t sequence = 0;
+  /** Where other VMs send datagrams, "IP:port"; empty for nowhere. */
+  std::string peerAddress;
   /** Version of the rate allocation that the VM has put in force. */
   std::uint64_t allocationVersion = 0;
   /** Operations per second that clients lately asked for. */
--- a/packages/proxy/promotion/PromotionDriver.h
+++ b/packages/proxy/promotion/PromotionDriver.h
@@ -73,6 +73,13 @@
   void Step(Instant aNow, Instant aLeaseUntil)
   {
     this->leaseUntil = aLeaseUntil;
+    if (!this->IsHolder(aNow)) {
+      // Claimed ahead of any need, so that a promotion waits for no election.
+      if (aNow < aLeaseUntil && this->MayTakeOver()) {
+        this->ClaimDuty();
+      }
+      return;
+    }
     for (const auto& [group, limit] : this->cluster.Configuration().connectionLimits) {
       Matter& matter = this->matters[group];
       if (matter.isRunning || aNow < matter.notBefore) {
@@ -83,12 +90,7 @@
         matter.rejected.clear();
         continue;
       }
-      if (this->IsHolder(aNow)) {
-        this->Inspect(aNow, group, *need);
-      } else if (this->MayTakeOver()) {
-        this->ClaimDuty(aNow);
-        return;
-      }
+      this->Inspect(aNow, group, *need);
     }
   }
 
@@ -163,7 +165,7 @@
       });
   }
 
-  void ClaimDuty(Instant /*aNow*/)
+  void ClaimDuty()
   {
     this->isClaiming = true;
     // A lost answer is settled by the next read of the fleet's table.
--- a/packages/proxy/rate/OrganisationBuckets.cpp
+++ b/packages/proxy/rate/OrganisationBuckets.cpp
@@ -1,5 +1,7 @@
 #include "proxy/rate/OrganisationBuckets.h"
 
+#include <algorithm>
+
 namespace mustardshift::proxy {
 
 void OrganisationBuckets::Configure(Instant aNow,
@@ -14,6 +16,7 @@
     const double rate = enforced.ratePerSecond * part;
     const double capacity = enforced.burst * part;
     const auto [entry, isNew] = this->entries.try_emplace(organisation);
+    entry->second.limit = enforced;
     if (isNew) {
       entry->second.bucket = TokenBucket(rate, capacity, 0, aNow);
     } else {
@@ -32,19 +35,72 @@
 
 bool OrganisationBuckets::TryTake(Instant aNow, const OrganisationName& aOrganisation)
 {
-  const auto entry = this->entries.find(aOrganisation);
-  return entry != this->entries.end() && aNow < this->leaseUntil &&
-         entry->second.bucket.TryTake(aNow);
+  const auto found = this->entries.find(aOrganisation);
+  if (found == this->entries.end() || aNow >= this->leaseUntil) {
+    return false;
+  }
+  Entry& entry = found->second;
+  if (entry.bucket.TryTake(aNow)) {
+    return true;
+  }
+  if (entry.received == 0 || aNow >= entry.receivedUntil) {
+    return false;
+  }
+  --entry.received;
+  return true;
 }
 
-std::optional<Instant> OrganisationBuckets::NextToken(Instant aNow,
-                                                      const OrganisationName& aOrganisation)
+std::optional<Instant> OrganisationBuckets::TimeOfTokens(Instant aNow,
+                                                         const OrganisationName& aOrganisation,
+                                                         std::size_t aCount)
 {
   const auto entry = this->entries.find(aOrganisation);
   if (entry == this->entries.end() || aNow >= this->leaseUntil) {
     return std::nullopt;
   }
-  return entry->second.bucket.TimeOf(aNow, 1);
+  return entry->second.bucket.TimeOf(aNow, static_cast<double>(aCount));
+}
+
+std::uint32_t OrganisationBuckets::Give(Instant aNow,
+                                        const OrganisationName& aOrganisation,
+                                        std::uint32_t aWanted,
+                                        double aReserveSeconds)
+{
+  const auto found = this->entries.find(aOrganisation);
+  if (found == this->entries.end() || aNow >= this->leaseUntil) {
+    return 0;
+  }
+  Entry& entry = found->second;
+  entry.bucket.Refill(aNow);
+  const double spare = entry.bucket.Tokens() - aReserveSeconds * entry.demand.SteadyRate(aNow);
+  if (spare < 1) {
+    return 0;
+  }
+  const std::uint32_t given = std::min(aWanted, static_cast<std::uint32_t>(spare));
+  entry.bucket.Remove(given);
+  return given;
+}
+
+void OrganisationBuckets::Receive(Instant aNow,
+                                  const OrganisationName& aOrganisation,
+                                  std::uint32_t aCount)
+{
+  const auto found = this->entries.find(aOrganisation);
+  if (found == this->entries.end()) {
+    return;
+  }
+  Entry& entry = found->second;
+  if (aNow >= entry.receivedUntil) {
+    entry.received = 0;
+  }
+  entry.received += aCount;
+  entry.receivedUntil = aNow + kReceivedLife;
+}
+
+double OrganisationBuckets::RateOfParts(const OrganisationName& aOrganisation, double aParts) const
+{
+  const auto entry = this->entries.find(aOrganisation);
+  return entry == this->entries.end() ? 0 : entry->second.limit.ratePerSecond * aParts / kRateParts;
 }
 
 std::map<OrganisationName, double> OrganisationBuckets::Demand(Instant aNow) const
--- a/packages/proxy/rate/OrganisationBuckets.h
+++ b/packages/proxy/rate/OrganisationBuckets.h
@@ -8,6 +8,8 @@
 #include "proxy/rate/RateAllocation.h"
 #include "proxy/rate/RateTolerance.h"
 
+#include <cstddef>
+#include <cstdint>
 #include <map>
 #include <optional>
 
@@ -41,14 +43,42 @@
   bool TryTake(Instant aNow, const OrganisationName& aOrganisation);
 
   /** Instant of the next token, or nothing when there will be none. */
-  std::optional<Instant> NextToken(Instant aNow, const OrganisationName& aOrganisation);
+  std::optional<Instant> NextToken(Instant aNow, const OrganisationName& aOrganisation)
+  {
+    return this->TimeOfTokens(aNow, aOrganisation, 1);
+  }
+
+  /** Instant at which there will be aCount tokens, or nothing when there never will. */
+  std::optional<Instant> TimeOfTokens(Instant aNow,
+                                      const OrganisationName& aOrganisation,
+                                      std::size_t aCount);
+
+  /** Gives up to aWanted whole tokens away, but keeps what this VM's clients need for a while.
+      Returns how many left the bucket.
+      @param aReserveSeconds  length of that while. */
+  std::uint32_t Give(Instant aNow,
+                     const OrganisationName& aOrganisation,
+                     std::uint32_t aWanted,
+                     double aReserveSeconds);
+
+  /** Takes tokens that another VM gave up. They can be used for kReceivedLife. */
+  void Receive(Instant aNow, const OrganisationName& aOrganisation, std::uint32_t aCount);
+
+  /** Operations per second that a number of parts allow. */
+  double RateOfParts(const OrganisationName& aOrganisation, double aParts) const;
 
   /** Operations per second that were lately asked for, by organisation. */
   std::map<OrganisationName, double> Demand(Instant aNow) const;
 
 private:
+  /** Received tokens that are not used soon are dropped, so that they don't add up. */
+  static constexpr Duration kReceivedLife = std::chrono::milliseconds(500);
+
   struct Entry
   {
+    OrganisationLimit limit;
+    std::uint32_t received = 0;
+    Instant receivedUntil{};
     TokenBucket bucket;
     DemandEstimate demand;
   };
--- /dev/null
+++ b/packages/proxy/rate/PeerMessenger.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "core/base/Names.h"
+
+#include <concepts>
+#include <string>
+
+namespace mustardshift::proxy {
+
+/** Sends datagrams to other VMs. They may be lost, late, repeated and out of order. */
+template<class Messenger>
+concept PeerMessenger = requires(Messenger aMessenger,
+                                 const std::string& aAddress,
+                                 const std::string& aBytes)
+{
+  aMessenger.Send(aAddress, aBytes);
+};
+
+} // namespace mustardshift::proxy
--- /dev/null
+++ b/packages/proxy/rate/TokenExchange.h
@@ -0,0 +1,212 @@
+#pragma once
+
+#include "core/base/Instant.h"
+#include "core/base/Names.h"
+#include "proxy/coordination/FleetView.h"
+#include "proxy/rate/OrganisationBuckets.h"
+#include "proxy/rate/PeerMessenger.h"
+#include "proxy/rate/TokenGate.h"
+#include "proxy/rate/TokenMessage.h"
+#include "proxy/schedule/Scheduler.h"
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace mustardshift::proxy {
+
+/** Moves rate tokens to VMs where operations wait for them. Tokens leave the lender before the
+    borrower gains them, so that a lost message loses tokens and none counts twice.
+
+    Thread safety: none; one thread owns the object. */
+template<PeerMessenger Messenger>
+class TokenExchange
+{
+public:
+  /** A VM that has not answered within this time is passed over: twice the way to another failure
+      domain and back, on a loaded VM. */
+  static constexpr Duration kAnswerTime = std::chrono::milliseconds(25);
+  /** VMs that are asked in turn, and the pause when none of them had tokens. */
+  static constexpr std::size_t kMostLenders = 3;
+  static constexpr Duration kPause = std::chrono::milliseconds(150);
+  /** More than the operations that wait are asked for, so that the next ones find some. */
+  static constexpr std::uint32_t kAhead = 2;
+  /** Time for which a lender keeps tokens for its own clients. */
+  static constexpr double kReserveSeconds = 0.3;
+
+  /** @param aIncarnation  tells this process from earlier ones of the VM.
+      All references have to outlive the exchange. */
+  TokenExchange(VmId aSelf,
+                std::uint64_t aIncarnation,
+                Messenger& aMessenger,
+                const FleetView& aFleet,
+                OrganisationBuckets& aBuckets,
+                TokenGate& aGate,
+                Scheduler& aScheduler)
+    : self(std::move(aSelf))
+    , incarnation(aIncarnation)
+    , messenger(aMessenger)
+    , fleet(aFleet)
+    , buckets(aBuckets)
+    , gate(aGate)
+    , scheduler(aScheduler)
+  {
+    this->gate.SetShortageHandler(
+      [this](Instant aNow, const OrganisationName& aOrganisation, std::size_t aCount) {
+        return this->OnShortage(aNow, aOrganisation, aCount);
+      });
+  }
+  TokenExchange(const TokenExchange&) = delete;
+  TokenExchange& operator=(const TokenExchange&) = delete;
+  ~TokenExchange() = default;
+
+  /** Takes a datagram of another VM; malformed ones are dropped. Returns whether it was one. */
+  bool OnDatagram(Instant aNow, std::string_view aBytes)
+  {
+    const std::optional<TokenMessage> message = DecodeTokenMessage(aBytes);
+    if (!message) {
+      return false;
+    }
+    if (const auto* request = std::get_if<TokenRequest>(&*message)) {
+      this->OnRequest(aNow, *request);
+    } else {
+      this->OnGrant(aNow, std::get<TokenGrant>(*message));
+    }
+    return true;
+  }
+
+private:
+  /** The search for an organisation's tokens. */
+  struct Search
+  {
+    /** Number of the request that awaits its answer; zero for none. */
+    std::uint64_t number = 0;
+    std::vector<VmId> lenders;
+    std::size_t wanted = 0;
+    Instant pausedUntil{};
+  };
+
+  bool OnShortage(Instant aNow, const OrganisationName& aOrganisation, std::size_t aCount)
+  {
+    Search& search = this->searches[aOrganisation];
+    search.wanted = aCount;
+    if (search.number != 0) {
+      return true;
+    }
+    if (aNow < search.pausedUntil) {
+      return false;
+    }
+    search.lenders = this->ChooseLenders(aOrganisation);
+    return this->AskNext(aNow, aOrganisation);
+  }
+
+  /** VMs with unused parts, beginning with another one each time, so that all are drawn on. */
+  std::vector<VmId> ChooseLenders(const OrganisationName& aOrganisation)
+  {
+    std::vector<VmId> lenders;
+    for (const VmId& vm : this->fleet.FreshMembers()) {
+      const MemberRow& row = this->fleet.Members().at(vm).row;
+      if (vm == this->self || row.peerAddress.empty()) {
+        continue;
+      }
+      const auto demand = row.demand.find(aOrganisation);
+      const double parts = this->fleet.Allocation().PartsOf(aOrganisation, vm);
+      if (this->buckets.RateOfParts(aOrganisation, parts) >
+          (demand == row.demand.end() ? 0.0 : demand->second)) {
+        lenders.push_back(vm);
+      }
+    }
+    if (!lenders.empty()) {
+      const auto first = static_cast<std::ptrdiff_t>(this->nextLender++ % lenders.size());
+      std::rotate(lenders.begin(), lenders.begin() + first, lenders.end());
+      lenders.resize(std::min(lenders.size(), kMostLenders));
+    }
+    return lenders;
+  }
+
+  /** Asks the next lender; returns false when none is left. */
+  bool AskNext(Instant aNow, const OrganisationName& aOrganisation)
+  {
+    Search& search = this->searches[aOrganisation];
+    search.number = 0;
+    if (search.lenders.empty()) {
+      search.pausedUntil = aNow + kPause;
+      return false;
+    }
+    const VmId lender = search.lenders.front();
+    search.lenders.erase(search.lenders.begin());
+    const auto member = this->fleet.Members().find(lender);
+    if (member == this->fleet.Members().end()) {
+      return this->AskNext(aNow, aOrganisation);
+    }
+    const std::uint64_t number = ++this->lastNumber;
+    search.number = number;
+    const TokenRequest request{ this->self,
+                                this->incarnation,
+                                number,
+                                aOrganisation,
+                                static_cast<std::uint32_t>(search.wanted) + kAhead };
+    this->messenger.Send(member->second.row.peerAddress, EncodeTokenMessage(request));
+    this->scheduler.Schedule(aNow + kAnswerTime, [this, aOrganisation, number](Instant aThen) {
+      if (this->searches[aOrganisation].number == number) {
+        this->AskNext(aThen, aOrganisation);
+      }
+    });
+    return true;
+  }
+
+  void OnRequest(Instant aNow, const TokenRequest& aRequest)
+  {
+    const auto member = this->fleet.Members().find(aRequest.sender);
+    if (member == this->fleet.Members().end() || member->second.row.peerAddress.empty()) {
+      return;
+    }
+    const std::uint32_t given =
+      this->buckets.Give(aNow, aRequest.organisation, aRequest.wanted, kReserveSeconds);
+    const TokenGrant grant{ this->self, aRequest.incarnation, aRequest.number, given };
+    this->messenger.Send(member->second.row.peerAddress, EncodeTokenMessage(grant));
+  }
+
+  void OnGrant(Instant aNow, const TokenGrant& aGrant)
+  {
+    if (aGrant.incarnation != this->incarnation) {
+      return;
+    }
+    const auto search =
+      std::find_if(this->searches.begin(), this->searches.end(), [&](const auto& aEntry) {
+        return aEntry.second.number == aGrant.number;
+      });
+    // Late and repeated grants are dropped; their tokens are lost.
+    if (aGrant.number == 0 || search == this->searches.end()) {
+      return;
+    }
+    const OrganisationName organisation = search->first;
+    if (aGrant.count == 0) {
+      this->AskNext(aNow, organisation);
+      return;
+    }
+    search->second.number = 0;
+    this->buckets.Receive(aNow, organisation, aGrant.count);
+    this->gate.Serve(aNow, organisation);
+  }
+
+  VmId self;
+  std::uint64_t incarnation;
+  Messenger& messenger;
+  const FleetView& fleet;
+  OrganisationBuckets& buckets;
+  TokenGate& gate;
+  Scheduler& scheduler;
+  std::map<OrganisationName, Search> searches;
+  std::uint64_t lastNumber = 0;
+  std::size_t nextLender = 0;
+};
+
+} // namespace mustardshift::proxy
--- /dev/null
+++ b/packages/proxy/rate/TokenMessage.cpp
@@ -0,0 +1,60 @@
+#include "proxy/rate/TokenMessage.h"
+
+#include "core/base/BoundedCbor.h"
+
+#include <nlohmann/json.hpp>
+
+namespace mustardshift::proxy {
+
+namespace {
+
+using nlohmann::json;
+
+json ToJson(const TokenRequest& aRequest)
+{
+  return { { "ask", aRequest.wanted },
+           { "vm", aRequest.sender.Text() },
+           { "incarnation", aRequest.incarnation },
+           { "number", aRequest.number },
+           { "organisation", aRequest.organisation.Text() } };
+}
+
+json ToJson(const TokenGrant& aGrant)
+{
+  return { { "grant", aGrant.count },
+           { "vm", aGrant.sender.Text() },
+           { "incarnation", aGrant.incarnation },
+           { "number", aGrant.number } };
+}
+
+} // namespace
+
+std::string EncodeTokenMessage(const TokenMessage& aMessage)
+{
+  return std::visit([](const auto& aPart) { return ToCbor(ToJson(aPart)); }, aMessage);
+}
+
+std::optional<TokenMessage> DecodeTokenMessage(std::string_view aBytes)
+{
+  const std::optional<json> value = ParseBoundedCbor(aBytes);
+  if (!value || !value->is_object()) {
+    return std::nullopt;
+  }
+  try {
+    const VmId sender(value->at("vm").get<std::string>());
+    const auto incarnation = value->at("incarnation").get<std::uint64_t>();
+    const auto number = value->at("number").get<std::uint64_t>();
+    if (value->contains("ask")) {
+      return TokenRequest{ sender,
+                           incarnation,
+                           number,
+                           OrganisationName(value->at("organisation").get<std::string>()),
+                           value->at("ask").get<std::uint32_t>() };
+    }
+    return TokenGrant{ sender, incarnation, number, value->at("grant").get<std::uint32_t>() };
+  } catch (const json::exception&) {
+    return std::nullopt;
+  }
+}
+
+} // namespace mustardshift::proxy
--- a/packages/proxy/session/ClientSession.h
+++ b/packages/proxy/session/ClientSession.h
@@ -118,6 +118,7 @@
     if (this->flight) {
       this->flight->reply = nullptr;
       this->context.pool.Cancel(this->flight->ticket);
+      this->context.gate.Cancel(this->flight->tokenTicket);
       if (this->flight->isRunning) {
         return;
       }
@@ -179,6 +180,7 @@
     Path path = Path::Primary;
     std::optional<LogPosition> floor;
     typename ServerPool<Network>::Ticket ticket = 0;
+    TokenGate::Ticket tokenTicket = 0;
     /** Time until the latest connection was there. */
     Duration waited{ 0 };
     /** A script is under way on `connection`. */
@@ -335,17 +337,25 @@
 
   void TakeToken(Instant aNow)
   {
-    if (this->route.isPublic || this->context.buckets.TryTake(aNow, this->organisation)) {
+    if (this->route.isPublic) {
       this->Dispatch(aNow);
       return;
     }
-    const std::optional<Instant> next = this->context.buckets.NextToken(aNow, this->organisation);
-    if (!next || *next > this->flight->startedAt + this->context.timings.tokenWait) {
-      this->Fail(aNow, ErrorCode::Busy, "the organisation is over its rate");
-      return;
+    const auto ticket = this->context.gate.Admit(
+      aNow, this->organisation, [self = this->shared_from_this()](Instant aThen, bool aIsAdmitted) {
+        if (!self->flight || self->hasEnded) {
+          return;
+        }
+        self->flight->tokenTicket = 0;
+        if (aIsAdmitted) {
+          self->Dispatch(aThen);
+        } else {
+          self->Fail(aThen, ErrorCode::Busy, "the organisation is over its rate");
+        }
+      });
+    if (this->flight && ticket != 0) {
+      this->flight->tokenTicket = ticket;
     }
-    this->flight->retryTimer = this->context.scheduler.Schedule(
-      std::max(*next, aNow + std::chrono::milliseconds(1)), this->Later(&ClientSession::TakeToken));
   }
 
   /** Makes a task that calls a method unless the statement has ended by then. */
@@ -839,6 +849,7 @@
     this->flight->deadlineTimer.reset();
     if (!this->flight->isRunning) {
       this->context.pool.Cancel(this->flight->ticket);
+      this->context.gate.Cancel(this->flight->tokenTicket);
       if (this->hasEnded) {
         return;
       }
--- a/packages/proxy/session/SessionContext.h
+++ b/packages/proxy/session/SessionContext.h
@@ -5,6 +5,7 @@
 #include "proxy/pool/ServerHealth.h"
 #include "proxy/pool/ServerPool.h"
 #include "proxy/rate/OrganisationBuckets.h"
+#include "proxy/rate/TokenGate.h"
 #include "proxy/schedule/Scheduler.h"
 #include "proxy/session/PositionTable.h"
 #include "proxy/session/ReplicaPositions.h"
@@ -27,6 +28,7 @@
   PositionTable& positions;
   ReplicaPositions& replicaPositions;
   OrganisationBuckets& buckets;
+  TokenGate& gate;
   Scheduler& scheduler;
   EventLog& log;
   SessionTimings timings;
--- a/packages/proxy/session/SessionTimings.h
+++ b/packages/proxy/session/SessionTimings.h
@@ -9,8 +9,6 @@
 {
   /** Taken off a route's bound on age, for clocks that don't run quite alike. */
   Duration stalenessMargin = std::chrono::milliseconds(100);
-  /** Longest wait for a rate token. */
-  Duration tokenWait = std::chrono::milliseconds(100);
   /** Longest wait for a connection, as a part of the statement's time limit. */
   double connectionWaitPart = 0.5;
   /** A read whose server has answered nobody for this long is tried elsewhere. */
--- a/packages/proxy/tests/SessionFixture.h
+++ b/packages/proxy/tests/SessionFixture.h
@@ -49,12 +49,14 @@
   OrganisationBuckets buckets{ VmId("vm-1") };
   ServerPool<FakeNetwork> pool{ network, cluster, health, scheduler, log };
   std::vector<StatementOutcome> outcomes;
+  TokenGate gate{ this->buckets, this->scheduler };
   SessionContext<FakeNetwork> context{ cluster,
                                        pool,
                                        health,
                                        positions,
                                        replicaPositions,
                                        buckets,
+                                       gate,
                                        scheduler,
                                        log,
                                        {},
--- /dev/null
+++ b/packages/proxy/tests/TokenExchangeTest.cpp
@@ -0,0 +1,305 @@
+#include "proxy/rate/TokenExchange.h"
+#include "support/Section.h"
+
+#include <chrono>
+#include <cppunit/extensions/HelperMacros.h>
+#include <deque>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace mustardshift::proxy {
+
+using mustardshift::test::Section;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+const OrganisationName kBlue("blue");
+constexpr double kRate = 60;
+
+class Fleet;
+
+/** Sends datagrams within a Fleet, with losses, delays and repeats. */
+class FleetMessenger
+{
+public:
+  explicit FleetMessenger(Fleet& aFleet)
+    : fleet(aFleet)
+  {
+  }
+  void Send(const std::string& aAddress, const std::string& aBytes);
+
+private:
+  Fleet& fleet;
+};
+
+/** One VM's gate and exchange. */
+struct FleetVm
+{
+  FleetVm(const std::string& aName, Fleet& aFleet, std::uint64_t aIncarnation);
+
+  VmId id;
+  OrganisationBuckets buckets;
+  FleetView view;
+  FleetMessenger messenger;
+  TokenGate gate;
+  TokenExchange<FleetMessenger> exchange;
+  double demand = 0;
+};
+
+/** VMs that lend each other tokens, in virtual time. */
+class Fleet
+{
+public:
+  explicit Fleet(std::size_t aCount)
+  {
+    for (std::size_t index = 0; index < aCount; ++index) {
+      this->Restart(index);
+    }
+  }
+
+  void Restart(std::size_t aIndex)
+  {
+    const std::string name = "vm-" + std::to_string(aIndex);
+    auto vm = std::make_unique<FleetVm>(name, *this, ++this->lastIncarnation);
+    if (aIndex < this->vms.size()) {
+      vm->demand = this->vms[aIndex]->demand;
+      this->retired.push_back(std::move(this->vms[aIndex]));
+      this->vms[aIndex] = std::move(vm);
+    } else {
+      this->vms.push_back(std::move(vm));
+    }
+  }
+
+  /** Puts an even division in force at all VMs and lets them read each other's rows. */
+  void Share()
+  {
+    RateAllocation allocation;
+    allocation.version = 1;
+    for (const auto& vm : this->vms) {
+      const auto parts = static_cast<std::uint32_t>(kRateParts / this->vms.size());
+      allocation.shares[kBlue][vm->id] = { parts, parts, 1 };
+    }
+    std::vector<StoredRow> rows{
+      { std::string(FleetView::kAllocationKey), EncodeRateAllocation(allocation), 1, false }
+    };
+    for (const auto& vm : this->vms) {
+      MemberRow row;
+      row.peerAddress = vm->id.Text();
+      row.demand = vm->buckets.Demand(this->now);
+      rows.push_back(
+        { FleetView::MemberKey(vm->id), EncodeMemberRow(row), ++this->lastVersion, false });
+    }
+    for (const auto& vm : this->vms) {
+      vm->view.Take(this->now, this->now, rows);
+      vm->buckets.Configure(this->now, { { kBlue, { kRate, kRate } } }, allocation);
+      vm->buckets.SetLease(this->now + seconds(5));
+    }
+  }
+
+  void Advance(Duration aTime)
+  {
+    const Instant end = this->now + aTime;
+    while (this->scheduler.NextDue() && *this->scheduler.NextDue() <= end) {
+      this->now = std::max(this->now, *this->scheduler.NextDue());
+      this->scheduler.RunDue(this->now);
+    }
+    this->now = end;
+  }
+
+  void Ask(std::size_t aIndex)
+  {
+    ++this->asked;
+    FleetVm& vm = *this->vms[aIndex];
+    vm.buckets.CountDemand(this->now, kBlue);
+    vm.gate.Admit(this->now, kBlue, [this](Instant aThen, bool aIsAdmitted) {
+      if (aIsAdmitted) {
+        this->admitted.push_back(aThen);
+      }
+    });
+  }
+
+  void Deliver(const std::string& aAddress, const std::string& aBytes)
+  {
+    if (this->random() % 100 < this->lossPercent) {
+      return;
+    }
+    const unsigned copies = this->random() % 100 < this->repeatPercent ? 2 : 1;
+    for (unsigned copy = 0; copy < copies; ++copy) {
+      const Duration delay = milliseconds(1 + this->random() % this->longestDelayMs);
+      this->scheduler.Schedule(this->now + delay, [this, aAddress, aBytes](Instant aThen) {
+        for (const auto& vm : this->vms) {
+          if (vm->id.Text() == aAddress) {
+            vm->exchange.OnDatagram(aThen, aBytes);
+          }
+        }
+      });
+    }
+  }
+
+  Instant now{ seconds(1000) };
+  Scheduler scheduler;
+  std::mt19937 random{ 20261204 };
+  unsigned lossPercent = 0;
+  unsigned repeatPercent = 0;
+  unsigned longestDelayMs = 3;
+  std::vector<std::unique_ptr<FleetVm>> vms;
+  /** Tasks may still refer to VMs that were restarted. */
+  std::vector<std::unique_ptr<FleetVm>> retired;
+  std::deque<Instant> admitted;
+  std::size_t asked = 0;
+  std::uint64_t lastIncarnation = 0;
+  std::uint64_t lastVersion = 10;
+};
+
+void FleetMessenger::Send(const std::string& aAddress, const std::string& aBytes)
+{
+  this->fleet.Deliver(aAddress, aBytes);
+}
+
+FleetVm::FleetVm(const std::string& aName, Fleet& aFleet, std::uint64_t aIncarnation)
+  : id(aName)
+  , buckets(VmId(aName))
+  , messenger(aFleet)
+  , gate(this->buckets, aFleet.scheduler)
+  , exchange(VmId(aName),
+             aIncarnation,
+             this->messenger,
+             this->view,
+             this->buckets,
+             this->gate,
+             aFleet.scheduler)
+{
+}
+
+} // namespace
+
+/** Guards against refusals within the rate where clients are spread unevenly, and against tokens
+    that count twice. */
+class TokenExchangeTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(TokenExchangeTest);
+  CPPUNIT_TEST(ClientsOnOneVmGetTheWholeRate);
+  CPPUNIT_TEST(NewProcessesBorrowTheirFirstTokens);
+  CPPUNIT_TEST(OperationsOverTheRateAreRefusedSoon);
+  CPPUNIT_TEST(WindowsKeepTheToleranceInSeededHistories);
+  CPPUNIT_TEST(MessagesAreReadBack);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void ClientsOnOneVmGetTheWholeRate()
+  {
+    Fleet fleet(9);
+    fleet.Share();
+    fleet.Advance(seconds(3));
+    std::exponential_distribution<double> gap(0.9 * kRate);
+    const Instant end = fleet.now + seconds(20);
+    Instant shared = fleet.now;
+    while (fleet.now < end) {
+      fleet.Ask(0);
+      fleet.Advance(Duration(static_cast<std::int64_t>(gap(fleet.random) * 1e6)));
+      if (fleet.now - shared > seconds(1)) {
+        shared = fleet.now;
+        fleet.Share();
+      }
+    }
+    fleet.Advance(seconds(1));
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(fleet.admitted.size()) + " of " +
+                             std::to_string(fleet.asked),
+                           static_cast<double>(fleet.admitted.size()) >= 0.97 * fleet.asked);
+  }
+
+  void NewProcessesBorrowTheirFirstTokens()
+  {
+    Fleet fleet(6);
+    fleet.Share();
+    fleet.Advance(seconds(4));
+    fleet.Restart(2);
+    fleet.Share();
+    for (int index = 0; index < 10; ++index) {
+      fleet.Ask(2);
+    }
+    fleet.Advance(milliseconds(150));
+    CPPUNIT_ASSERT(fleet.admitted.size() >= 9);
+  }
+
+  void OperationsOverTheRateAreRefusedSoon()
+  {
+    Fleet fleet(3);
+    fleet.Share();
+    fleet.Advance(seconds(2));
+    std::size_t refused = 0;
+    for (int index = 0; index < 500; ++index) {
+      fleet.vms[0]->gate.Admit(
+        fleet.now, kBlue, [&](Instant, bool aIsAdmitted) { refused += aIsAdmitted ? 0 : 1; });
+    }
+    fleet.Advance(TokenGate::kLongestWait);
+    CPPUNIT_ASSERT(refused >= 250);
+  }
+
+  void WindowsKeepTheToleranceInSeededHistories()
+  {
+    const double bound = (kRate * 5 + kRate) * 1.1 + 20;
+    for (unsigned seed = 1; seed <= 15; ++seed) {
+      Fleet fleet(5);
+      fleet.random.seed(seed);
+      fleet.lossPercent = seed % 4 * 10;
+      fleet.repeatPercent = 20;
+      fleet.longestDelayMs = seed % 3 == 0 ? 200 : 10;
+      fleet.Share();
+      std::deque<Instant> window;
+      for (int step = 0; step < 2000; ++step) {
+        this->Step(fleet, step);
+        window.insert(window.end(), fleet.admitted.begin(), fleet.admitted.end());
+        fleet.admitted.clear();
+        while (!window.empty() && fleet.now - window.front() > seconds(5)) {
+          window.pop_front();
+        }
+        CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(seed) + " step " + std::to_string(step),
+                               static_cast<double>(window.size()) <= bound);
+      }
+    }
+  }
+
+  void MessagesAreReadBack()
+  {
+    const TokenMessage request = TokenRequest{ VmId("a"), 7, 8, kBlue, 9 };
+    const TokenMessage grant = TokenGrant{ VmId("b"), 7, 8, 3 };
+    CPPUNIT_ASSERT(DecodeTokenMessage(EncodeTokenMessage(request)) == request);
+    CPPUNIT_ASSERT(DecodeTokenMessage(EncodeTokenMessage(grant)) == grant);
+    const std::string bytes = EncodeTokenMessage(request);
+    for (std::size_t length = 0; length < bytes.size(); ++length) {
+      CPPUNIT_ASSERT(!DecodeTokenMessage(bytes.substr(0, length)));
+    }
+  }
+
+private:
+  /** 10 ms of load that moves between the VMs, with restarts now and then. */
+  void Step(Fleet& aFleet, int aStep)
+  {
+    if (aStep % 100 == 0) {
+      if (aFleet.random() % 5 == 0) {
+        aFleet.Restart(aFleet.random() % aFleet.vms.size());
+      }
+      for (const auto& vm : aFleet.vms) {
+        vm->demand = static_cast<double>(aFleet.random() % 80);
+      }
+      aFleet.Share();
+    }
+    for (std::size_t index = 0; index < aFleet.vms.size(); ++index) {
+      std::poisson_distribution<int> arrivals(aFleet.vms[index]->demand * 0.01);
+      for (int left = arrivals(aFleet.random); left > 0; --left) {
+        aFleet.Ask(index);
+      }
+    }
+    aFleet.Advance(milliseconds(10));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TokenExchangeTest);
+
+} // namespace mustardshift::proxy
