--- a/packages/proxy/cluster/ClusterState.cpp
+++ b/packages/proxy/cluster/ClusterState.cpp
@@ -82,7 +82,7 @@
 void ClusterState::SetEvacuated(std::set<FailureDomainName> aDomains, Instant aNow)
 {
   std::erase_if(this->evacuated,
-                [&](const auto& entry) { return !aDomains.contains(entry.first); });
+                [&](const auto& aEntry) { return !aDomains.contains(aEntry.first); });
   for (const FailureDomainName& domain : aDomains) {
     this->evacuated.try_emplace(domain, aNow);
   }
@@ -156,7 +156,7 @@
 void ClusterState::NoteNotPrimary(const ServerId& aId)
 {
   this->notPrimary.insert(aId);
-  std::erase_if(this->expectedPrimary, [&](const auto& entry) { return entry.second == aId; });
+  std::erase_if(this->expectedPrimary, [&](const auto& aEntry) { return aEntry.second == aId; });
 }
 
 std::optional<Instant> ClusterState::WithoutPrimarySince(const DatabaseName& aGroup) const
--- /dev/null
+++ b/packages/proxy/tests/FakeContractTest.cpp
@@ -0,0 +1,114 @@
+#include "contracts/DatabaseNetworkContract.h"
+#include "contracts/TableStoreContract.h"
+#include "proxy/tests/FakeNetwork.h"
+#include "proxy/tests/FakeStore.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cppunit/extensions/HelperMacros.h>
+#include <functional>
+#include <string>
+
+namespace mustardshift::proxy {
+
+using std::chrono::seconds;
+
+namespace {
+
+/** Runs fakes in virtual time. */
+struct VirtualTime
+{
+  bool WaitUntil(const std::function<bool()>& aCondition)
+  {
+    const Instant end = this->now + seconds(5);
+    while (!aCondition() && this->scheduler.NextDue() && *this->scheduler.NextDue() <= end) {
+      this->now = std::max(this->now, *this->scheduler.NextDue());
+      this->tick(this->now);
+      this->scheduler.RunDue(this->now);
+    }
+    return aCondition();
+  }
+
+  Instant now{ seconds(1000) };
+  Scheduler scheduler;
+  std::function<void(Instant)> tick;
+};
+
+struct FakeStoreFixture : VirtualTime
+{
+  FakeStoreFixture()
+  {
+    this->tick = [this](Instant aNow) { this->store.now = aNow; };
+    this->tick(this->now);
+  }
+  void Put(const std::string& aTable, const std::string& aKey, const std::string& aValue)
+  {
+    this->store.Put(aTable, aKey, aValue);
+  }
+  void Remove(const std::string& aTable, const std::string& aKey)
+  {
+    this->store.Remove(aTable, aKey);
+  }
+  void DropHistory() { this->store.Compact(); }
+
+  test::FakeStore store{ this->scheduler };
+};
+
+struct FakeNetworkFixture : VirtualTime
+{
+  FakeNetworkFixture()
+  {
+    this->tick = [this](Instant aNow) { this->network.now = aNow; };
+    this->tick(this->now);
+    this->network.Add("s1", true);
+    this->network.Add("s2", false);
+  }
+  ConnectTarget Target(const std::string& aServer)
+  {
+    return {
+      ServerId(aServer), ServerAddress("-"), DatabaseName("fittings"), OrganisationName("a")
+    };
+  }
+  void BreakConnections(const std::string& aServer)
+  {
+    this->scheduler.Schedule(
+      this->now, [this, aServer](Instant aNow) { this->network.BreakConnections(aNow, aServer); });
+  }
+  void LoseNextAnswer(const std::string& aServer)
+  {
+    this->network.Server(aServer).conduct = [this, aServer](const ServerCommand&) {
+      this->network.Server(aServer).conduct = nullptr;
+      return test::Conduct::LoseAfterRun;
+    };
+  }
+
+  test::FakeNetwork network{ this->scheduler };
+};
+
+} // namespace
+
+/** Guards against fakes that behave unlike the adapters that they stand for: both keep the same
+    contract (see PlatformContractTest). */
+class FakeContractTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(FakeContractTest);
+  CPPUNIT_TEST(FakeStoreKeepsTheContract);
+  CPPUNIT_TEST(FakeNetworkKeepsTheContract);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void FakeStoreKeepsTheContract()
+  {
+    FakeStoreFixture fixture;
+    test::TableStoreContract(fixture).Check();
+  }
+  void FakeNetworkKeepsTheContract()
+  {
+    FakeNetworkFixture fixture;
+    test::DatabaseNetworkContract(fixture).Check();
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FakeContractTest);
+
+} // namespace mustardshift::proxy
--- a/packages/proxy/tests/FakeStore.cpp
+++ b/packages/proxy/tests/FakeStore.cpp
@@ -18,7 +18,7 @@
     [handler = aHandler, value = std::move(aValue)](Instant aNow) { handler(aNow, value); });
 }
 
-void FakeStore::Read(const std::string& aTable, RowsHandler aHandler)
+void FakeStore::Read(const std::string& aTable, const RowsHandler& aHandler)
 {
   const StoreConduct what = this->ConductOf("read");
   using Result = tl::expected<StoredRows, StoreFailure>;
@@ -129,7 +129,7 @@
   this->Change(aTable, { aKey, "", 0, true });
 }
 
-void FakeStore::Write(const RowChange& aChange, ChangeHandler aHandler)
+void FakeStore::Write(const RowChange& aChange, const ChangeHandler& aHandler)
 {
   const StoreConduct what = this->ConductOf("write");
   using Result = tl::expected<std::uint64_t, StoreFailure>;
--- a/packages/proxy/tests/FakeStore.h
+++ b/packages/proxy/tests/FakeStore.h
@@ -37,9 +37,9 @@
   }
 
   /** See TableStore. */
-  void Read(const std::string& aTable, RowsHandler aHandler);
+  void Read(const std::string& aTable, const RowsHandler& aHandler);
   void Watch(const std::string& aTable, std::uint64_t aAfter, Duration aWait, RowsHandler aHandler);
-  void Write(const RowChange& aChange, ChangeHandler aHandler);
+  void Write(const RowChange& aChange, const ChangeHandler& aHandler);
 
   /** Writes from outside the system, at once. */
   void Put(const std::string& aTable, const std::string& aKey, const std::string& aValue);
--- a/packages/proxy/tests/RateAllocationTest.cpp
+++ b/packages/proxy/tests/RateAllocationTest.cpp
@@ -26,6 +26,17 @@
   return { { kBlue, { aRate, aRate } } };
 }
 
+/** VMs "a", "b", ... that ask for the same. */
+std::vector<RateMember> MakeMembers(std::size_t aCount, double aDemand)
+{
+  std::vector<RateMember> members(aCount);
+  for (std::size_t index = 0; index < aCount; ++index) {
+    members[index].vm = VmId(std::string(1, static_cast<char>('a' + index)));
+    members[index].demand[kBlue] = aDemand;
+  }
+  return members;
+}
+
 std::uint32_t SumOfParts(const RateAllocation& aAllocation)
 {
   std::uint32_t sum = 0;
@@ -125,10 +136,7 @@
 
   void SharesFollowDemand()
   {
-    std::vector<RateMember> members;
-    for (const char* vm : { "a", "b", "c", "d", "e", "f" }) {
-      members.push_back({ VmId(vm), 0, { { kBlue, 4 } }, false });
-    }
+    std::vector<RateMember> members = MakeMembers(6, 4);
     members[2].demand[kBlue] = 40;
     RateAllocation allocation;
     for (int round = 0; round < 4; ++round) {
@@ -155,10 +163,7 @@
       anywhere. */
   void LittleDemandMovesLittle()
   {
-    std::vector<RateMember> members;
-    for (const char* vm : { "a", "b", "c", "d", "e", "f" }) {
-      members.push_back({ VmId(vm), 0, {}, false });
-    }
+    std::vector<RateMember> members = MakeMembers(6, 0);
     RateAllocation allocation = *PlanRateAllocation({}, members, Limits(20));
     members[0].demand[kBlue] = 2.7;
     for (int round = 0; round < 4; ++round) {
@@ -215,6 +220,7 @@
     const RateTolerance tolerance;
     Instant now{ seconds(100) };
     std::vector<HistoryVm> vms;
+    vms.reserve(6);
     for (int index = 0; index < 6; ++index) {
       const VmId id("vm-" + std::to_string(index));
       vms.push_back({ id, OrganisationBuckets(id, tolerance), {}, true, 10.0 });
