--- a/packages/proxy/SessionProxy.h
+++ b/packages/proxy/SessionProxy.h
@@ -289,7 +289,7 @@
   void OnFleetRead(Instant aNow)
   {
     this->ShareConnections(aNow);
-    this->driver.Step(aNow, this->coordinator.LeaseUntil());
+    this->driver.Step(aNow, this->coordinator.DutyLeaseUntil());
   }
 
   /** The connections of a VM whose lease has ended go to the others. */
@@ -313,7 +313,7 @@
     this->prober.Step(aNow);
     this->coordinator.SetUnreachable(aNow, this->prober.UnreachablePrimaries(aNow));
     this->coordinator.SetUrgent(this->driver.HasWork(aNow));
-    this->driver.Step(aNow, this->coordinator.LeaseUntil());
+    this->driver.Step(aNow, this->coordinator.DutyLeaseUntil());
     this->pool.CloseUnused(aNow - this->settings.idleConnection);
     this->scheduler.Schedule(aNow + kCheckPeriod, [this](Instant aThen) { this->Check(aThen); });
   }
--- a/packages/proxy/coordination/FleetCoordinator.h
+++ b/packages/proxy/coordination/FleetCoordinator.h
@@ -32,6 +32,9 @@
   static constexpr Duration kPeriod = std::chrono::milliseconds(1500);
   /** Period of reads while a primary has to be replaced. */
   static constexpr Duration kUrgentPeriod = std::chrono::milliseconds(300);
+  /** Least time between two divisions of the rates. A move costs tokens at the VM that gives parts up,
+      and VMs lend each other tokens in the meantime. */
+  static constexpr Duration kPlanPeriod = std::chrono::milliseconds(3000);
   /** Calls without an answer are followed by further ones, up to this number. */
   static constexpr unsigned kMostOverlappingCalls = 3;
 
@@ -95,6 +98,12 @@
   /** End of this VM's lease on its rate shares. */
   Instant LeaseUntil() const { return this->leaseUntil; }
 
+  /** Until when this VM may order promotions, if it holds the duty. */
+  Instant DutyLeaseUntil() const
+  {
+    return this->leaseUntil - FleetView::kMemberLease + FleetView::kDutyLease;
+  }
+
   /** Whether this VM knows the table and holds its lease. */
   bool IsReady(Instant aNow) const { return this->hasRead && aNow < this->leaseUntil; }
 
@@ -222,7 +231,7 @@
   void PlanRates(Instant aNow)
   {
     const std::vector<VmId> fresh = this->fleet.FreshMembers();
-    if (this->isPlanning || !this->cluster.HasConfiguration() || fresh.empty() ||
+    if (this->isPlanning || aNow < this->planAgainAt || !this->cluster.HasConfiguration() || fresh.empty() ||
         fresh.front() != this->self) {
       return;
     }
@@ -232,6 +241,7 @@
       return;
     }
     this->isPlanning = true;
+    this->planAgainAt = aNow + kPlanPeriod;
     this->log.WriteAlways(
       aNow, "rate", "allocation-written", { { "version", std::to_string(next->version) } });
     this->store.Write(RowChange{ std::string(FleetView::kTable),
@@ -254,6 +264,7 @@
   bool hasRead = false;
   bool isUrgent = false;
   bool isPlanning = false;
+  Instant planAgainAt{};
   unsigned reads = 0;
   unsigned writes = 0;
   Instant latestRead{};
--- a/packages/proxy/coordination/FleetView.h
+++ b/packages/proxy/coordination/FleetView.h
@@ -32,6 +32,11 @@
   /** A VM whose row has not changed for this long has stopped: kMemberLease and a reserve for
       clocks that don't run alike. */
   static constexpr Duration kLapseAfter = std::chrono::milliseconds(6500);
+  /** The holder of the promotion duty orders for this long after it sent the latest write of its row
+      that was acknowledged; two renewals. Another VM takes over when the row has not changed for
+      kDutyLapseAfter. */
+  static constexpr Duration kDutyLease = std::chrono::milliseconds(3200);
+  static constexpr Duration kDutyLapseAfter = std::chrono::milliseconds(4000);
   /** The opinion of a VM counts while its row is younger than this: three renewals. */
   static constexpr Duration kFreshFor = std::chrono::milliseconds(4500);
 
@@ -61,7 +66,9 @@
   /** Notes a change of the duty row by this VM. */
   void SetDuty(DutyRow aDuty, std::uint64_t aRowVersion);
 
-  bool HasLapsed(const VmId& aVm) const;
+  bool HasLapsed(const VmId& aVm) const { return this->IsUnchangedFor(aVm, kLapseAfter); }
+  /** Whether a VM no longer orders promotions. */
+  bool HasDutyLapsed(const VmId& aVm) const { return this->IsUnchangedFor(aVm, kDutyLapseAfter); }
   /** Whether a VM's row has changed within kFreshFor. */
   bool IsFresh(const VmId& aVm) const;
   /** Fresh VMs in ascending order of their names. */
@@ -70,6 +77,9 @@
   std::vector<RateMember> RateMembers() const;
 
 private:
+  /** Whether the VM has no row, or a read shows that it has not changed for so long. */
+  bool IsUnchangedFor(const VmId& aVm, Duration aTime) const;
+
   std::map<VmId, Member> members;
   /** Instant before the latest read was sent. */
   Instant readSentAt{};
--- a/packages/proxy/promotion/PromotionDriver.h
+++ b/packages/proxy/promotion/PromotionDriver.h
@@ -131,7 +131,7 @@
       return false;
     }
     const auto& duty = this->fleet.Duty();
-    if (duty && duty->holder != this->self && !this->fleet.HasLapsed(duty->holder)) {
+    if (duty && duty->holder != this->self && !this->fleet.HasDutyLapsed(duty->holder)) {
       return false;
     }
     const std::vector<VmId> fresh = this->fleet.FreshMembers();
--- a/packages/proxy/rate/OrganisationBuckets.cpp
+++ b/packages/proxy/rate/OrganisationBuckets.cpp
@@ -1,6 +1,8 @@
 #include "proxy/rate/OrganisationBuckets.h"
 
 #include <algorithm>
+#include <array>
+#include <cstdio>
 
 namespace mustardshift::proxy {
 
@@ -81,6 +83,15 @@
   return given;
 }
 
+void OrganisationBuckets::Refund(Instant aNow, const OrganisationName& aOrganisation)
+{
+  const auto found = this->entries.find(aOrganisation);
+  if (found != this->entries.end()) {
+    found->second.bucket.Refill(aNow);
+    found->second.bucket.Add(1);
+  }
+}
+
 void OrganisationBuckets::Receive(Instant aNow,
                                   const OrganisationName& aOrganisation,
                                   std::uint32_t aCount)
@@ -97,6 +108,26 @@
   entry.receivedUntil = aNow + kReceivedLife;
 }
 
+std::string OrganisationBuckets::Describe(Instant aNow,
+                                          const OrganisationName& aOrganisation) const
+{
+  const auto found = this->entries.find(aOrganisation);
+  if (found == this->entries.end()) {
+    return "no-limit-known";
+  }
+  const Entry& entry = found->second;
+  std::array<char, 128> text{};
+  std::snprintf(text.data(),
+                text.size(),
+                "tokens:%.1f,rate:%.1f,capacity:%.1f,demand:%.1f,lease-ms:%lld",
+                entry.bucket.Tokens(),
+                entry.bucket.Rate(),
+                entry.bucket.Capacity(),
+                entry.demand.SteadyRate(aNow),
+                static_cast<long long>((this->leaseUntil - aNow).count() / 1000));
+  return text.data();
+}
+
 double OrganisationBuckets::RateOfParts(const OrganisationName& aOrganisation, double aParts) const
 {
   const auto entry = this->entries.find(aOrganisation);
--- a/packages/proxy/rate/OrganisationBuckets.h
+++ b/packages/proxy/rate/OrganisationBuckets.h
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <string>
 
 namespace mustardshift::proxy {
 
@@ -61,9 +62,15 @@
                      std::uint32_t aWanted,
                      double aReserveSeconds);
 
+  /** Gives back the token of an operation that no server was asked to run. */
+  void Refund(Instant aNow, const OrganisationName& aOrganisation);
+
   /** Takes tokens that another VM gave up. They can be used for kReceivedLife. */
   void Receive(Instant aNow, const OrganisationName& aOrganisation, std::uint32_t aCount);
 
+  /** The figures that decide about an operation, for the log. */
+  std::string Describe(Instant aNow, const OrganisationName& aOrganisation) const;
+
   /** Operations per second that a number of parts allow. */
   double RateOfParts(const OrganisationName& aOrganisation, double aParts) const;
 
--- a/packages/proxy/rate/PlanRateAllocation.cpp
+++ b/packages/proxy/rate/PlanRateAllocation.cpp
@@ -11,9 +11,9 @@
 /** Part that is divided evenly in any case, so that clients that move are served at once. */
 constexpr double kLeastEvenPart = 0.2;
 /** A VM that asks for more than this part of its share needs a new division. */
-constexpr double kTightUse = 0.8;
+constexpr double kTightUse = 0.95;
 /** A VM with this part of its ideal share is not short. */
-constexpr double kEnough = 0.8;
+constexpr double kEnough = 0.7;
 /** Smaller differences from the ideal division are left alone. */
 constexpr std::uint32_t kLeastMove = 100;
 
--- a/packages/proxy/session/ClientSession.h
+++ b/packages/proxy/session/ClientSession.h
@@ -181,6 +181,8 @@
     std::optional<LogPosition> floor;
     typename ServerPool<Network>::Ticket ticket = 0;
     TokenGate::Ticket tokenTicket = 0;
+    /** A rate token was taken, and no server was asked to run the operation yet. */
+    bool hasToken = false;
     /** Time until the latest connection was there. */
     Duration waited{ 0 };
     /** A script is under way on `connection`. */
@@ -341,6 +343,11 @@
       this->Dispatch(aNow);
       return;
     }
+    if (this->ChooseCandidates(aNow).empty()) {
+      // Refused before it takes a token, which others can use.
+      this->Fail(aNow, ErrorCode::Busy, kNoServer);
+      return;
+    }
     const auto ticket = this->context.gate.Admit(
       aNow, this->organisation, [self = this->shared_from_this()](Instant aThen, bool aIsAdmitted) {
         if (!self->flight || self->hasEnded) {
@@ -348,8 +355,16 @@
         }
         self->flight->tokenTicket = 0;
         if (aIsAdmitted) {
+          self->flight->hasToken = true;
           self->Dispatch(aThen);
         } else {
+          self->context.log.Write(
+            aThen,
+            "rate",
+            "refused",
+            { { "id", self->flight->requestId },
+              { "organisation", self->organisation.Text() },
+              { "figures", self->context.buckets.Describe(aThen, self->organisation) } });
           self->Fail(aThen, ErrorCode::Busy, "the organisation is over its rate");
         }
       });
@@ -379,7 +394,7 @@
     }
     std::vector<ConnectionCandidate> candidates = this->ChooseCandidates(aNow);
     if (candidates.empty()) {
-      this->Fail(aNow, ErrorCode::Busy, "no server can run the statement now");
+      this->Fail(aNow, ErrorCode::Busy, kNoServer);
       return;
     }
     const auto waitBound = std::chrono::duration_cast<Duration>(
@@ -573,6 +588,7 @@
     }
     commands.push_back(this->MakeCommand());
     this->flight->isRunning = true;
+    this->flight->hasToken = false;
     this->ArmSilenceTimer(aNow);
     ConnectionScript<Network>::Run(
       aNow,
@@ -878,9 +894,14 @@
     this->ReplyError(aNow, ErrorCode::InDoubt, "the answer was lost; it may have been kept");
   }
 
+  static constexpr const char* kNoServer = "no server can run the statement now";
+
   /** Ends a statement that keeps nothing. */
   void Fail(Instant aNow, ErrorCode aError, const char* aWhy)
   {
+    if (this->flight->hasToken) {
+      this->context.buckets.Refund(aNow, this->organisation);
+    }
     if (this->transaction != Transaction::None) {
       this->FailTransaction(aNow, aError, aWhy);
       return;
--- a/packages/proxy/tests/ClientSessionTest.cpp
+++ b/packages/proxy/tests/ClientSessionTest.cpp
@@ -31,6 +31,7 @@
   CPPUNIT_TEST(UnconfirmedConfigurationsServePublicRoutesOnly);
   CPPUNIT_TEST(ClientsThatLeaveHoldNothing);
   CPPUNIT_TEST(HopelessStatementsAreRefusedAtOnce);
+  CPPUNIT_TEST(RefusedStatementsCostNoTokens);
   CPPUNIT_TEST(BusyServersAreAskedAgain);
   CPPUNIT_TEST(IdleTransactionsAreRolledBack);
   CPPUNIT_TEST_SUITE_END();
@@ -365,6 +366,39 @@
     });
   }
 
+  /** While a database has no primary its clients' retries must not use up what the organisation's
+      other databases may be asked. */
+  void RefusedStatementsCostNoTokens()
+  {
+    SessionFixture fixture;
+    RateAllocation allocation;
+    allocation.version = 2;
+    allocation.shares[OrganisationName("blue")][VmId("vm-1")] = { kRateParts, kRateParts, 1 };
+    fixture.buckets.Configure(
+      fixture.now, { { OrganisationName("blue"), { 1, 20 } } }, allocation);
+    const auto session = fixture.Open("bookings");
+    Section("without a primary", [&] {
+      fixture.Put("s1", ServerRole::Replica);
+      for (int count = 0; count < 200; ++count) {
+        CPPUNIT_ASSERT(fixture.Run(*session, "WRITE slot-1 uwase").error == ErrorCode::Busy);
+      }
+      fixture.Put("s1", ServerRole::Primary);
+      CPPUNIT_ASSERT(!fixture.Run(*session, "WRITE slot-1 uwase").error);
+    });
+    Section("without a connection in time", [&] {
+      fixture.network.Server("s1").connectionLimit = 0;
+      fixture.network.BreakConnections(fixture.now, "s1");
+      for (int count = 0; count < 60; ++count) {
+        fixture.Confirm();
+        CPPUNIT_ASSERT(fixture.Run(*session, "WRITE slot-1 uwase").error == ErrorCode::Busy);
+      }
+      fixture.network.Server("s1").connectionLimit = 20;
+      fixture.Advance(milliseconds(200));
+      fixture.Confirm();
+      CPPUNIT_ASSERT(!fixture.Run(*session, "WRITE slot-1 uwase").error);
+    });
+  }
+
   void BusyServersAreAskedAgain()
   {
     SessionFixture fixture;
