--- a/packages/proxy/tests/ClientSessionTest.cpp
+++ b/packages/proxy/tests/ClientSessionTest.cpp
@@ -374,8 +374,7 @@
     RateAllocation allocation;
     allocation.version = 2;
     allocation.shares[OrganisationName("blue")][VmId("vm-1")] = { kRateParts, kRateParts, 1 };
-    fixture.buckets.Configure(
-      fixture.now, { { OrganisationName("blue"), { 1, 20 } } }, allocation);
+    fixture.buckets.Configure(fixture.now, { { OrganisationName("blue"), { 1, 20 } } }, allocation);
     const auto session = fixture.Open("bookings");
     Section("without a primary", [&] {
       fixture.Put("s1", ServerRole::Replica);
--- /dev/null
+++ b/packages/proxy/tests/FleetHistoryTest.cpp
@@ -0,0 +1,322 @@
+#include "proxy/tests/FleetSimulation.h"
+#include "support/Section.h"
+
+#include <chrono>
+#include <cppunit/extensions/HelperMacros.h>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace mustardshift::proxy {
+
+using mustardshift::test::Section;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using test::FleetSimulation;
+
+/** Guards the rules that all VMs keep together, under kills, cuts, lost answers and late orders. */
+class FleetHistoryTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(FleetHistoryTest);
+  CPPUNIT_TEST(ADeadPrimaryIsReplacedOnce);
+  CPPUNIT_TEST(APrimaryThatFewCantReachStays);
+  CPPUNIT_TEST(AnotherVmTakesTheDutyOver);
+  CPPUNIT_TEST(LateOrdersDontUndoNewerOnes);
+  CPPUNIT_TEST(EvacuatedPrimariesAreReplaced);
+  CPPUNIT_TEST(WithdrawnKeysStopOnVmsThatAreCutOff);
+  CPPUNIT_TEST(RatesHoldInSeededHistories);
+  CPPUNIT_TEST(ReadsSeeAcknowledgedWritesInSeededHistories);
+  CPPUNIT_TEST(ServesAgainAfterAllProcessesWereKilled);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void ADeadPrimaryIsReplacedOnce()
+  {
+    FleetSimulation fleet(6, 1);
+    fleet.CrashServer("s1");
+    const Instant crashedAt = fleet.now;
+    while (fleet.orders.accepted.empty() && fleet.now - crashedAt < seconds(16)) {
+      fleet.Advance(milliseconds(100));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), fleet.orders.accepted.size());
+    Section("well within the time that the target allows",
+            [&] { CPPUNIT_ASSERT(fleet.now - crashedAt < seconds(4)); });
+    Section("and only once", [&] {
+      fleet.store.Remove("servers", "s1");
+      fleet.Advance(seconds(10));
+      CPPUNIT_ASSERT_EQUAL(std::size_t(1), fleet.orders.sent.size());
+    });
+    Section("by the replica with the most complete log", [&] {
+      FleetSimulation other(4, 2);
+      other.network.Server("s3").position = { 1, 7 };
+      other.network.Server("s2").position = { 1, 6 };
+      other.CrashServer("s1");
+      other.Advance(seconds(5));
+      CPPUNIT_ASSERT_EQUAL(std::string("s3"), other.orders.accepted.at(0).candidate.Text());
+    });
+  }
+
+  void APrimaryThatFewCantReachStays()
+  {
+    FleetSimulation fleet(6, 3);
+    // Every third connection is opened by the VMs that can't reach the primary; the others' are
+    // answered. Two of six VMs report it.
+    for (int second = 0; second < 8; ++second) {
+      MemberRow row;
+      row.sequence = static_cast<std::uint64_t>(second) + 1000;
+      row.unreachablePrimaries.insert(ServerId("s1"));
+      for (const char* vm : { "vm-0", "vm-1" }) {
+        fleet.store.Put("fleet", FleetView::MemberKey(VmId(vm)), EncodeMemberRow(row));
+      }
+      fleet.Advance(milliseconds(300));
+    }
+    CPPUNIT_ASSERT(fleet.orders.sent.empty());
+  }
+
+  void AnotherVmTakesTheDutyOver()
+  {
+    FleetSimulation fleet(5, 4);
+    const std::string holder = fleet.vms[0].proxy->Fleet().Duty()->holder.Text();
+    CPPUNIT_ASSERT_EQUAL(std::string("vm-0"), holder);
+    fleet.Kill(0);
+    fleet.CrashServer("s1");
+    fleet.Advance(seconds(9));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), fleet.orders.accepted.size());
+    CPPUNIT_ASSERT(fleet.orders.accepted[0].holder != VmId("vm-0"));
+    Section("a holder that is cut off from the store gives it up too", [&] {
+      FleetSimulation cut(5, 5);
+      cut.vms[0].store->isCut = true;
+      cut.CrashServer("s1");
+      cut.Advance(seconds(9));
+      std::map<std::uint64_t, std::string> holders;
+      for (const PromotionOrder& order : cut.orders.sent) {
+        const auto [entry, isNew] = holders.try_emplace(order.fence, order.holder.Text());
+        CPPUNIT_ASSERT(isNew || entry->second == order.holder.Text());
+      }
+      CPPUNIT_ASSERT(!cut.orders.accepted.empty());
+      CPPUNIT_ASSERT_EQUAL(std::string("vm-1"), cut.orders.accepted.back().holder.Text());
+    });
+  }
+
+  void LateOrdersDontUndoNewerOnes()
+  {
+    FleetSimulation fleet(4, 6);
+    fleet.orders.late = seconds(8);
+    fleet.CrashServer("s1");
+    while (fleet.orders.sent.empty()) {
+      fleet.Advance(milliseconds(100));
+    }
+    // The candidate of the order that is on its way dies, and another one is ordered.
+    const std::string first = fleet.orders.sent[0].candidate.Text();
+    fleet.CrashServer(first);
+    fleet.store.Remove("servers", first);
+    fleet.orders.late.reset();
+    fleet.Advance(seconds(12));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), fleet.orders.accepted.size());
+    CPPUNIT_ASSERT(fleet.orders.accepted[0].candidate.Text() != first);
+    CPPUNIT_ASSERT(fleet.orders.accepted[0].fence > fleet.orders.sent[0].fence);
+  }
+
+  void EvacuatedPrimariesAreReplaced()
+  {
+    FleetSimulation fleet(4, 7);
+    fleet.store.Put("operators", "evacuate-domain-s1", "{}");
+    const Instant askedAt = fleet.now;
+    fleet.Advance(seconds(2));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), fleet.orders.accepted.size());
+    const std::size_t before = fleet.network.runs.size();
+    fleet.Advance(seconds(5) - (fleet.now - askedAt));
+    for (std::size_t vm = 0; vm < 4; ++vm) {
+      fleet.Ask(vm, "bookings", "key-blue", "READ slot-1", [](Instant, const ClientReply& aReply) {
+        CPPUNIT_ASSERT(!aReply.error);
+      });
+      fleet.Ask(vm, "board", "key-blue", "READ slot-1", [](Instant, const ClientReply& aReply) {
+        CPPUNIT_ASSERT(!aReply.error);
+      });
+    }
+    fleet.Advance(seconds(1));
+    for (std::size_t index = before; index < fleet.network.runs.size(); ++index) {
+      CPPUNIT_ASSERT(fleet.network.runs[index].server != ServerId("s1"));
+    }
+  }
+
+  void WithdrawnKeysStopOnVmsThatAreCutOff()
+  {
+    for (unsigned seed = 1; seed <= 10; ++seed) {
+      FleetSimulation fleet(4, seed);
+      for (auto& vm : fleet.vms) {
+        vm.store->isCut = fleet.random() % 2 == 0;
+      }
+      fleet.Advance(milliseconds(fleet.random() % 3000));
+      fleet.Configure({ "key-green=green" });
+      const Instant withdrawnAt = fleet.now;
+      while (fleet.now - withdrawnAt < seconds(12)) {
+        const Instant sentAt = fleet.now;
+        for (std::size_t vm = 0; vm < fleet.vms.size(); ++vm) {
+          if (fleet.random() % 20 == 0) {
+            fleet.Restart(vm);
+          }
+          fleet.Ask(
+            vm, "bookings", "key-blue", "READ slot-1", [&](Instant, const ClientReply& aReply) {
+              CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(seed),
+                                     aReply.error || sentAt - withdrawnAt <= seconds(5));
+            });
+        }
+        fleet.Advance(milliseconds(100));
+      }
+    }
+  }
+
+  void RatesHoldInSeededHistories()
+  {
+    const double bound = (60 * 5 + 60) * 1.1 + 20;
+    for (unsigned seed = 1; seed <= 6; ++seed) {
+      FleetSimulation fleet(5, seed);
+      std::deque<Instant> window;
+      for (int step = 0; step < 1500; ++step) {
+        if (step % 100 == 0) {
+          this->Disturb(fleet);
+        }
+        const std::size_t before = fleet.network.runs.size();
+        for (int count = 0; count < 3; ++count) {
+          fleet.Ask(fleet.random() % fleet.vms.size(),
+                    "board",
+                    "key-blue",
+                    "READ slot-1",
+                    [](Instant, const ClientReply&) {});
+        }
+        fleet.Advance(milliseconds(20));
+        window.insert(window.end(), fleet.network.runs.size() - before, fleet.now);
+        while (!window.empty() && fleet.now - window.front() > seconds(5)) {
+          window.pop_front();
+        }
+        CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(seed) + " step " + std::to_string(step) +
+                                 ": " + std::to_string(window.size()),
+                               static_cast<double>(window.size()) <= bound);
+      }
+      CPPUNIT_ASSERT(fleet.network.runs.size() > 600);
+    }
+  }
+
+  void ReadsSeeAcknowledgedWritesInSeededHistories()
+  {
+    for (unsigned seed = 1; seed <= 8; ++seed) {
+      FleetSimulation fleet(4, seed);
+      /** Acknowledged commits that no promotion has cut off, and when they were. */
+      std::deque<std::pair<Instant, LogPosition>> acknowledged;
+      std::size_t checked = 0;
+      for (int step = 0; step < 800; ++step) {
+        if (step % 150 == 100) {
+          this->ReplacePrimary(fleet);
+        }
+        if (step % 40 == 0) {
+          this->CatchUp(fleet);
+        }
+        const std::size_t vm = fleet.random() % fleet.vms.size();
+        fleet.Ask(
+          vm, "bookings", "key-blue", "WRITE x y", [&](Instant aNow, const ClientReply& aReply) {
+            if (!aReply.error) {
+              acknowledged.emplace_back(aNow, *aReply.position);
+            }
+          });
+        this->CheckRead(fleet, "bookings", Duration(0), acknowledged, checked, seed);
+        this->CheckRead(fleet, "board", milliseconds(1500), acknowledged, checked, seed);
+        fleet.Advance(milliseconds(30));
+      }
+      CPPUNIT_ASSERT(checked > 400);
+    }
+  }
+
+  void ServesAgainAfterAllProcessesWereKilled()
+  {
+    FleetSimulation fleet(6, 9);
+    for (std::size_t vm = 0; vm < 6; ++vm) {
+      fleet.Restart(vm);
+    }
+    fleet.Advance(seconds(3));
+    std::size_t served = 0;
+    for (int count = 0; count < 60; ++count) {
+      fleet.Ask(fleet.random() % 6,
+                "board",
+                "key-blue",
+                "READ slot-1",
+                [&](Instant, const ClientReply& aReply) { served += aReply.error ? 0 : 1; });
+      fleet.Advance(milliseconds(30));
+    }
+    fleet.Advance(seconds(1));
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(served), served >= 55);
+  }
+
+private:
+  void Disturb(FleetSimulation& aFleet)
+  {
+    for (std::size_t vm = 0; vm < aFleet.vms.size(); ++vm) {
+      aFleet.vms[vm].store->isCut = aFleet.random() % 6 == 0;
+      aFleet.vms[vm].store->losesAnswers = aFleet.random() % 6 == 0;
+      if (aFleet.random() % 8 == 0) {
+        aFleet.Restart(vm);
+      }
+    }
+  }
+
+  /** Another server leads, of which the VMs hear with a delay; the old one still answers. */
+  void ReplacePrimary(FleetSimulation& aFleet)
+  {
+    const std::string next = "s" + std::to_string(1 + aFleet.random() % 3);
+    if (aFleet.network.Server(next).isPrimary) {
+      return;
+    }
+    aFleet.network.Promote(next);
+    aFleet.scheduler.Schedule(aFleet.now + milliseconds(aFleet.random() % 3000),
+                              [&aFleet](Instant) { aFleet.WriteServers(); });
+  }
+
+  /** Replicas receive what the primary has, each with some probability. */
+  void CatchUp(FleetSimulation& aFleet)
+  {
+    for (const char* primary : { "s1", "s2", "s3" }) {
+      if (!aFleet.network.Server(primary).isPrimary) {
+        continue;
+      }
+      for (const char* replica : { "s1", "s2", "s3" }) {
+        if (aFleet.random() % 2 == 0) {
+          aFleet.network.Server(replica).position = aFleet.network.Server(primary).position;
+        }
+      }
+    }
+  }
+
+  void CheckRead(FleetSimulation& aFleet,
+                 const std::string& aDatabase,
+                 Duration aAge,
+                 std::deque<std::pair<Instant, LogPosition>>& aAcknowledged,
+                 std::size_t& aChecked,
+                 unsigned aSeed)
+  {
+    const Instant startedAt = aFleet.now;
+    aFleet.Ask(aFleet.random() % aFleet.vms.size(),
+               aDatabase,
+               "key-blue",
+               "READ x",
+               [&, startedAt, aAge, aSeed](Instant, const ClientReply& aReply) {
+                 if (aReply.error) {
+                   return;
+                 }
+                 ++aChecked;
+                 const LogPosition seen = *aReply.position;
+                 for (const auto& [at, position] : aAcknowledged) {
+                   // What a promotion rolled back doesn't count.
+                   const bool counts = at < startedAt - aAge && position.term == seen.term;
+                   CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(aSeed),
+                                          !counts || position <= seen);
+                   const bool isOldTerm = at < startedAt - aAge && position.term > seen.term;
+                   CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(aSeed), !isOldTerm);
+                 }
+               });
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FleetHistoryTest);
+
+} // namespace mustardshift::proxy
--- /dev/null
+++ b/packages/proxy/tests/FleetSimulation.cpp
@@ -0,0 +1,279 @@
+#include "proxy/tests/FleetSimulation.h"
+
+#include "core/configuration/KeyHash.h"
+#include "proxy/tests/SessionFixture.h"
+
+#include <algorithm>
+#include <cppunit/TestAssert.h>
+#include <sstream>
+#include <utility>
+
+namespace mustardshift::proxy::test {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+const DatabaseName kGroup("fittings");
+
+template<class Handler, class Result>
+void FailLater(Scheduler& aScheduler, Instant aNow, Handler aHandler, Result aResult)
+{
+  aScheduler.Schedule(aNow + FakeStore::kNoAnswerTime,
+                      [handler = std::move(aHandler), result = std::move(aResult)](Instant aThen) {
+                        handler(aThen, result);
+                      });
+}
+
+} // namespace
+
+void StoreAccess::Read(const std::string& aTable, const RowsHandler& aHandler)
+{
+  if (this->isCut) {
+    FailLater(this->scheduler,
+              this->store.now,
+              aHandler,
+              tl::expected<StoredRows, StoreFailure>(tl::unexpected(StoreFailure::NoAnswer)));
+    return;
+  }
+  this->store.Read(aTable, aHandler);
+}
+
+void StoreAccess::Watch(const std::string& aTable,
+                        std::uint64_t aAfter,
+                        Duration aWait,
+                        RowsHandler aHandler)
+{
+  if (this->isCut) {
+    FailLater(this->scheduler,
+              this->store.now,
+              std::move(aHandler),
+              tl::expected<StoredRows, StoreFailure>(tl::unexpected(StoreFailure::NoAnswer)));
+    return;
+  }
+  // An answer that is on its way when the VM is cut off doesn't arrive.
+  this->store.Watch(aTable, aAfter, aWait, [this, aHandler](Instant aNow, auto aRows) {
+    if (this->isCut) {
+      aHandler(aNow, tl::unexpected(StoreFailure::NoAnswer));
+    } else {
+      aHandler(aNow, std::move(aRows));
+    }
+  });
+}
+
+void StoreAccess::Write(const RowChange& aChange, const ChangeHandler& aHandler)
+{
+  const auto lost =
+    tl::expected<std::uint64_t, StoreFailure>(tl::unexpected(StoreFailure::NoAnswer));
+  if (this->isCut) {
+    FailLater(this->scheduler, this->store.now, aHandler, lost);
+    return;
+  }
+  if (this->losesAnswers) {
+    this->store.Write(aChange, [](Instant, const auto&) {});
+    FailLater(this->scheduler, this->store.now, aHandler, lost);
+    return;
+  }
+  this->store.Write(aChange, aHandler);
+}
+
+bool FakeOrders::Take(const PromotionOrder& aOrder)
+{
+  if (aOrder.fence < this->fence) {
+    return false;
+  }
+  this->fence = aOrder.fence;
+  this->accepted.push_back(aOrder);
+  this->onAccepted(aOrder);
+  return true;
+}
+
+void FakeOrders::Send(const PromotionOrder& aOrder,
+                      std::function<void(Instant, OrderResult)> aHandler)
+{
+  this->sent.push_back(aOrder);
+  if (this->late) {
+    this->scheduler.Schedule(this->now + *this->late,
+                             [this, aOrder](Instant) { this->Take(aOrder); });
+    this->scheduler.Schedule(this->now + kNoAnswerTime,
+                             [aHandler](Instant aThen) { aHandler(aThen, OrderResult::NoAnswer); });
+    return;
+  }
+  const OrderResult result = this->Take(aOrder) ? OrderResult::Accepted : OrderResult::Rejected;
+  this->scheduler.Schedule(this->now + kAnswerTime,
+                           [aHandler, result](Instant aThen) { aHandler(aThen, result); });
+}
+
+tl::expected<OperatorRecord, std::string> FakeDecoder::DecodeOperatorRow(const StoredRow& aRow)
+{
+  if (aRow.key.starts_with("evacuate-")) {
+    return EvacuationRecord{ FailureDomainName(aRow.key.substr(9)) };
+  }
+  std::istringstream words(aRow.value);
+  SessionConfiguration configuration;
+  words >> configuration.version;
+  configuration.connectionLimits[kGroup] = 30;
+  SessionRoute route;
+  route.group = kGroup;
+  route.statementTimeout = milliseconds(800);
+  configuration.routes["bookings"] = route;
+  route.consistency = ReadConsistency::Bounded;
+  route.maxStaleness = milliseconds(1500);
+  configuration.routes["board"] = route;
+  for (std::string word; words >> word;) {
+    const std::size_t equals = word.find('=');
+    const OrganisationName organisation(word.substr(equals + 1));
+    configuration.organisationsByKeyHash[KeyHash(word.substr(0, equals))] = organisation;
+    configuration.limits[organisation] = { 60, 60 };
+  }
+  return configuration;
+}
+
+tl::expected<ServerRecord, std::string> FakeDecoder::DecodeServerRow(const StoredRow& aRow)
+{
+  std::istringstream words(aRow.value);
+  std::string role;
+  std::string state;
+  words >> role >> state;
+  ServerRecord record;
+  record.id = ServerId(aRow.key);
+  record.group = kGroup;
+  record.address = ServerAddress("10.0.0.1:5000");
+  record.domain = FailureDomainName("domain-" + aRow.key);
+  record.slots = 3;
+  record.role = role == "primary" ? ServerRole::Primary : ServerRole::Replica;
+  record.state = state == "draining" ? ServerState::Draining : ServerState::Ready;
+  return record;
+}
+
+FleetSimulation::FleetSimulation(std::size_t aVms, unsigned aSeed)
+  : random(aSeed)
+{
+  this->Advance(Duration(0));
+  this->network.Add("s1", true);
+  this->network.Add("s2", false);
+  this->network.Add("s3", false);
+  this->orders.onAccepted = [this](const PromotionOrder& aOrder) {
+    this->scheduler.Schedule(this->now + milliseconds(600), [this, aOrder](Instant) {
+      if (!this->crashed.contains(aOrder.candidate.Text())) {
+        this->network.Promote(aOrder.candidate.Text());
+        this->WriteServers();
+      }
+    });
+  };
+  this->messenger.deliver = [this](const std::string& aAddress, const std::string& aBytes) {
+    this->scheduler.Schedule(this->now + milliseconds(1), [this, aAddress, aBytes](Instant aNow) {
+      for (Vm& vm : this->vms) {
+        if (vm.name == aAddress) {
+          vm.proxy->OnDatagram(aNow, aBytes);
+        }
+      }
+    });
+  };
+  this->Configure({ "key-blue=blue", "key-green=green" });
+  this->WriteServers();
+  for (std::size_t index = 0; index < aVms; ++index) {
+    this->vms.push_back({ "vm-" + std::to_string(index), nullptr, nullptr });
+    this->Start(this->vms.back());
+  }
+  this->Advance(seconds(6));
+}
+
+void FleetSimulation::Start(Vm& aVm)
+{
+  ProxySettings settings;
+  settings.vm = VmId(aVm.name);
+  settings.peerAddress = aVm.name;
+  settings.incarnation = ++this->lastIncarnation;
+  aVm.store = std::make_unique<StoreAccess>(this->store, this->scheduler);
+  aVm.proxy = std::make_unique<Proxy>(settings,
+                                      this->network,
+                                      *aVm.store,
+                                      this->orders,
+                                      this->messenger,
+                                      this->scheduler,
+                                      this->log,
+                                      [](const StatementOutcome&) {});
+  aVm.proxy->Start(this->now);
+}
+
+void FleetSimulation::Restart(std::size_t aIndex)
+{
+  Vm& vm = this->vms[aIndex];
+  vm.store->isCut = true;
+  this->retired.push_back({ vm.name, std::move(vm.store), std::move(vm.proxy) });
+  this->Start(vm);
+}
+
+void FleetSimulation::Kill(std::size_t aIndex)
+{
+  this->vms[aIndex].store->isCut = true;
+  this->retired.push_back(std::move(this->vms[aIndex]));
+  this->vms.erase(this->vms.begin() + static_cast<std::ptrdiff_t>(aIndex));
+}
+
+void FleetSimulation::Configure(const std::vector<std::string>& aKeys)
+{
+  std::string text = std::to_string(++this->version);
+  for (const std::string& key : aKeys) {
+    text += " " + key;
+  }
+  this->store.Put("operators", "config", text);
+}
+
+void FleetSimulation::WriteServers()
+{
+  for (const char* id : { "s1", "s2", "s3" }) {
+    if (!this->crashed.contains(id)) {
+      this->store.Put(
+        "servers", id, this->network.Server(id).isPrimary ? "primary ready" : "replica ready");
+    }
+  }
+}
+
+void FleetSimulation::CrashServer(const std::string& aId)
+{
+  this->crashed.insert(aId);
+  this->network.Server(aId).isDark = true;
+}
+
+void FleetSimulation::Ask(std::size_t aVm,
+                          const std::string& aDatabase,
+                          const std::string& aKey,
+                          const std::string& aText,
+                          std::function<void(Instant, const ClientReply&)> aDone)
+{
+  auto session = this->vms[aVm].proxy->MakeSession(aDatabase, KeyHash(aKey));
+  if (const auto refusal = session->Open(this->now)) {
+    ClientReply refused;
+    refused.error = refusal;
+    aDone(this->now, refused);
+    return;
+  }
+  auto* raw = session.get();
+  raw->Execute(this->now,
+               "q" + std::to_string(++this->lastRequest),
+               SessionFixture::Parse(aText),
+               [session, done = std::move(aDone)](Instant aNow, const ClientReply& aReply) {
+                 done(aNow, aReply);
+               });
+}
+
+void FleetSimulation::Advance(Duration aTime)
+{
+  const Instant end = this->now + aTime;
+  const auto setTime = [this](Instant aNow) {
+    this->now = std::max(this->now, aNow);
+    this->store.now = this->now;
+    this->network.now = this->now;
+    this->orders.now = this->now;
+  };
+  while (this->scheduler.NextDue() && *this->scheduler.NextDue() <= end) {
+    setTime(*this->scheduler.NextDue());
+    this->scheduler.RunDue(this->now);
+  }
+  setTime(end);
+}
+
+} // namespace mustardshift::proxy::test
--- /dev/null
+++ b/packages/proxy/tests/FleetSimulation.h
@@ -0,0 +1,145 @@
+#pragma once
+
+#include "proxy/SessionProxy.h"
+#include "proxy/tests/FakeNetwork.h"
+#include "proxy/tests/FakeStore.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace mustardshift::proxy::test {
+
+/** One VM's way to the store, which can be cut; satisfies TableStore. */
+class StoreAccess
+{
+public:
+  StoreAccess(FakeStore& aStore, Scheduler& aScheduler)
+    : store(aStore)
+    , scheduler(aScheduler)
+  {
+  }
+  void Read(const std::string& aTable, const RowsHandler& aHandler);
+  void Watch(const std::string& aTable, std::uint64_t aAfter, Duration aWait, RowsHandler aHandler);
+  void Write(const RowChange& aChange, const ChangeHandler& aHandler);
+
+  bool isCut = false;
+  /** Writes are done and get no answer. */
+  bool losesAnswers = false;
+
+private:
+  FakeStore& store;
+  Scheduler& scheduler;
+};
+
+/** Carries out promotions under their fences; satisfies PromotionOrders. */
+class FakeOrders
+{
+public:
+  static constexpr Duration kAnswerTime = std::chrono::milliseconds(10);
+  static constexpr Duration kNoAnswerTime = std::chrono::milliseconds(2500);
+
+  explicit FakeOrders(Scheduler& aScheduler)
+    : scheduler(aScheduler)
+  {
+  }
+  void Send(const PromotionOrder& aOrder, std::function<void(Instant, OrderResult)> aHandler);
+
+  /** Gets each order that passes the fence. */
+  std::function<void(const PromotionOrder&)> onAccepted;
+  /** The next orders get no answer and are carried out this much later. */
+  std::optional<Duration> late;
+  std::vector<PromotionOrder> sent;
+  std::vector<PromotionOrder> accepted;
+  Instant now{};
+
+private:
+  bool Take(const PromotionOrder& aOrder);
+
+  Scheduler& scheduler;
+  std::uint64_t fence = 0;
+};
+
+/** Delivers datagrams between the VMs of a simulation; satisfies PeerMessenger. */
+struct FakeMessenger
+{
+  std::function<void(const std::string&, const std::string&)> deliver;
+  void Send(const std::string& aAddress, const std::string& aBytes)
+  {
+    this->deliver(aAddress, aBytes);
+  }
+};
+
+/** Reads the rows that a simulation writes; satisfies RecordDecoder. Configurations are
+    "VERSION KEY=ORGANISATION ...", servers "ROLE STATE". */
+struct FakeDecoder
+{
+  static constexpr std::string_view kOperatorTable = "operators";
+  static constexpr std::string_view kServerTable = "servers";
+  static tl::expected<OperatorRecord, std::string> DecodeOperatorRow(const StoredRow& aRow);
+  static tl::expected<ServerRecord, std::string> DecodeServerRow(const StoredRow& aRow);
+};
+
+/** A fleet of whole session proxies over one store and one group of servers, in virtual time. */
+class FleetSimulation
+{
+public:
+  using Proxy = SessionProxy<FakeNetwork, StoreAccess, FakeOrders, FakeMessenger, FakeDecoder>;
+  using Session = ClientSession<FakeNetwork>;
+
+  struct Vm
+  {
+    std::string name;
+    std::unique_ptr<StoreAccess> store;
+    std::unique_ptr<Proxy> proxy;
+  };
+
+  /** Starts the VMs and runs until they are ready. */
+  FleetSimulation(std::size_t aVms, unsigned aSeed);
+
+  void Advance(Duration aTime);
+  /** Kills a VM's process; a new one starts at once. */
+  void Restart(std::size_t aIndex);
+  /** Kills a VM for good. */
+  void Kill(std::size_t aIndex);
+  /** Writes a configuration with these keys, each "KEY=ORGANISATION". */
+  void Configure(const std::vector<std::string>& aKeys);
+  /** Writes the servers' entries as they are now. */
+  void WriteServers();
+  void CrashServer(const std::string& aId);
+  /** Starts a session and runs one statement; aDone gets the reply. */
+  void Ask(std::size_t aVm,
+           const std::string& aDatabase,
+           const std::string& aKey,
+           const std::string& aText,
+           std::function<void(Instant, const ClientReply&)> aDone);
+
+  Instant now{ std::chrono::seconds(1000) };
+  Scheduler scheduler;
+  std::mt19937 random;
+  FakeStore store{ this->scheduler };
+  FakeNetwork network{ this->scheduler };
+  FakeOrders orders{ this->scheduler };
+  FakeMessenger messenger;
+  std::vector<std::string> lines;
+  EventLog log{ [this](std::string aLine) { this->lines.push_back(std::move(aLine)); }, 1e9 };
+  std::vector<Vm> vms;
+  std::set<std::string> crashed;
+
+private:
+  void Start(Vm& aVm);
+
+  std::uint64_t version = 0;
+  std::uint64_t lastIncarnation = 0;
+  std::uint64_t lastRequest = 0;
+  /** Tasks may still refer to proxies that were killed; they can't reach the store any more. */
+  std::vector<Vm> retired;
+};
+
+} // namespace mustardshift::proxy::test
