--- a/packages/proxy/coordination/FleetCoordinator.h
+++ b/packages/proxy/coordination/FleetCoordinator.h
@@ -17,6 +17,7 @@
 #include <set>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace mustardshift::proxy {
 
@@ -32,8 +33,8 @@
   static constexpr Duration kPeriod = std::chrono::milliseconds(1500);
   /** Period of reads while a primary has to be replaced. */
   static constexpr Duration kUrgentPeriod = std::chrono::milliseconds(300);
-  /** Least time between two divisions of the rates. A move costs tokens at the VM that gives parts up,
-      and VMs lend each other tokens in the meantime. */
+  /** Least time between two divisions of the rates. A move costs tokens at the VM that gives parts
+     up, and VMs lend each other tokens in the meantime. */
   static constexpr Duration kPlanPeriod = std::chrono::milliseconds(3000);
   /** Calls without an answer are followed by further ones, up to this number. */
   static constexpr unsigned kMostOverlappingCalls = 3;
@@ -228,10 +229,20 @@
     this->buckets.SetLease(this->leaseUntil);
   }
 
+  /** A VM that has joined waits for no period. */
+  bool HasMemberWithoutShare(const std::vector<VmId>& aFresh) const
+  {
+    const auto& shares = this->fleet.Allocation().shares;
+    return !shares.empty() && std::any_of(aFresh.begin(), aFresh.end(), [&](const VmId& aVm) {
+      return this->fleet.Allocation().PartsOf(shares.begin()->first, aVm) == 0;
+    });
+  }
+
   void PlanRates(Instant aNow)
   {
     const std::vector<VmId> fresh = this->fleet.FreshMembers();
-    if (this->isPlanning || aNow < this->planAgainAt || !this->cluster.HasConfiguration() || fresh.empty() ||
+    const bool isTooSoon = aNow < this->planAgainAt && !this->HasMemberWithoutShare(fresh);
+    if (this->isPlanning || isTooSoon || !this->cluster.HasConfiguration() || fresh.empty() ||
         fresh.front() != this->self) {
       return;
     }
--- a/packages/proxy/coordination/FleetView.h
+++ b/packages/proxy/coordination/FleetView.h
@@ -32,8 +32,8 @@
   /** A VM whose row has not changed for this long has stopped: kMemberLease and a reserve for
       clocks that don't run alike. */
   static constexpr Duration kLapseAfter = std::chrono::milliseconds(6500);
-  /** The holder of the promotion duty orders for this long after it sent the latest write of its row
-      that was acknowledged; two renewals. Another VM takes over when the row has not changed for
+  /** The holder of the promotion duty orders for this long after it sent the latest write of its
+     row that was acknowledged; two renewals. Another VM takes over when the row has not changed for
       kDutyLapseAfter. */
   static constexpr Duration kDutyLease = std::chrono::milliseconds(3200);
   static constexpr Duration kDutyLapseAfter = std::chrono::milliseconds(4000);
--- a/packages/proxy/session/ClientSession.h
+++ b/packages/proxy/session/ClientSession.h
@@ -183,6 +183,8 @@
     TokenGate::Ticket tokenTicket = 0;
     /** A rate token was taken, and no server was asked to run the operation yet. */
     bool hasToken = false;
+    /** The server that was asked last. */
+    std::optional<ServerId> server;
     /** Time until the latest connection was there. */
     Duration waited{ 0 };
     /** A script is under way on `connection`. */
@@ -588,6 +590,7 @@
     }
     commands.push_back(this->MakeCommand());
     this->flight->isRunning = true;
+    this->flight->server = this->connection->server;
     this->flight->hasToken = false;
     this->ArmSilenceTimer(aNow);
     ConnectionScript<Network>::Run(
@@ -726,7 +729,6 @@
     if (isCommit) {
       this->transaction = Transaction::None;
     }
-    const std::string server = this->connection->server.Text();
     const bool isOnReplica = this->flight->path == Path::Position;
     // A checked read leaves its transaction open at the server.
     if (this->transaction != Transaction::Open) {
@@ -736,7 +738,7 @@
     answer.rows = std::move(reply.rows);
     answer.signature = std::move(reply.signature);
     answer.position = reply.position;
-    this->FinishStatement(aNow, std::move(answer), server, isOnReplica);
+    this->FinishStatement(aNow, std::move(answer), isOnReplica);
   }
 
   void OnRefused(Instant aNow, const ScriptResult& aResult)
@@ -969,23 +971,43 @@
   /** A rollback that takes longer closes the connection instead. */
   static constexpr Duration kRollbackLimit = std::chrono::seconds(1);
 
-  void ReplyDone(Instant aNow) { this->FinishStatement(aNow, ClientReply{}, "none", false); }
+  void ReplyDone(Instant aNow) { this->FinishStatement(aNow, ClientReply{}, false); }
 
   void ReplyError(Instant aNow, ErrorCode aError, const char* aWhy)
   {
     ClientReply answer;
     answer.error = aError;
     answer.message = aWhy;
-    this->FinishStatement(aNow, std::move(answer), "none", false);
+    this->FinishStatement(aNow, std::move(answer), false);
   }
 
-  void FinishStatement(Instant aNow,
-                       ClientReply aReply,
-                       const std::string& aServer,
-                       bool aIsOnReplica)
+  void FinishStatement(Instant aNow, ClientReply aReply, bool aIsOnReplica)
   {
     this->CancelTimers();
     const Reply reply = std::move(this->flight->reply);
+    this->LogOutcome(aNow, aReply);
+    this->context.count({ this->organisation,
+                          this->route.consistency,
+                          this->flight->statement.kind,
+                          aReply.error,
+                          aNow - this->flight->startedAt,
+                          aIsOnReplica });
+    this->flight.reset();
+    aReply.state = this->State();
+    if (this->transaction == Transaction::Open) {
+      this->ArmIdleTimer(aNow);
+    }
+    if (reply) {
+      reply(aNow, std::move(aReply));
+    }
+  }
+
+  /** One line with what decided the statement: the server that was asked, the believed primary, the
+      log position that was needed, and the age of the configuration. */
+  void LogOutcome(Instant aNow, const ClientReply& aReply) const
+  {
+    const std::optional<ServerId> primary = this->context.cluster.PrimaryOf(this->route.group);
+    const auto& floor = this->flight->floor;
     this->context.log.Write(
       aNow,
       "statement",
@@ -994,7 +1016,10 @@
         { "kind", std::string(NameOf(kStatementKindNames, this->flight->statement.kind)) },
         { "database", this->database },
         { "organisation", this->organisation.Text() },
-        { "server", aServer },
+        { "server", this->flight->server ? this->flight->server->Text() : "none" },
+        { "primary", primary ? primary->Text() : "none" },
+        { "needed",
+          floor ? std::to_string(floor->term) + "." + std::to_string(floor->offset) : "none" },
         { "error", aReply.error ? NameText(*aReply.error) : "none" },
         { "why", aReply.message },
         { "tries", std::to_string(this->flight->tries) },
@@ -1003,20 +1028,6 @@
         { "configuration", this->VersionText() },
         { "confirmed_ms",
           std::to_string((aNow - this->context.cluster.ConfirmedAt()).count() / 1000) } });
-    this->context.count({ this->organisation,
-                          this->route.consistency,
-                          this->flight->statement.kind,
-                          aReply.error,
-                          aNow - this->flight->startedAt,
-                          aIsOnReplica });
-    this->flight.reset();
-    aReply.state = this->State();
-    if (this->transaction == Transaction::Open) {
-      this->ArmIdleTimer(aNow);
-    }
-    if (reply) {
-      reply(aNow, std::move(aReply));
-    }
   }
 
   void ArmIdleTimer(Instant aNow)
--- a/packages/proxy/tests/FleetHistoryTest.cpp
+++ b/packages/proxy/tests/FleetHistoryTest.cpp
@@ -260,16 +260,25 @@
     }
   }
 
-  /** Another server leads, of which the VMs hear with a delay; the old one still answers. */
+  /** Another server leads. Some VMs hear of it seconds later than others, and the old primary still
+      answers them. */
   void ReplacePrimary(FleetSimulation& aFleet)
   {
     const std::string next = "s" + std::to_string(1 + aFleet.random() % 3);
     if (aFleet.network.Server(next).isPrimary) {
       return;
     }
+    for (auto& vm : aFleet.vms) {
+      vm.store->isCut = aFleet.random() % 2 == 0;
+    }
     aFleet.network.Promote(next);
-    aFleet.scheduler.Schedule(aFleet.now + milliseconds(aFleet.random() % 3000),
-                              [&aFleet](Instant) { aFleet.WriteServers(); });
+    aFleet.WriteServers();
+    aFleet.scheduler.Schedule(aFleet.now + milliseconds(1500 + aFleet.random() % 1500),
+                              [&aFleet](Instant) {
+                                for (auto& vm : aFleet.vms) {
+                                  vm.store->isCut = false;
+                                }
+                              });
   }
 
   /** Replicas receive what the primary has, each with some probability. */
