--- a/packages/adapters/metrics/MetricsRegistry.h
+++ b/packages/adapters/metrics/MetricsRegistry.h
@@ -18,7 +18,7 @@
 
 namespace mustardshift {
 
-/** Metrics of one daemon, under the names that docs/operations.md lists. Numbers of label values
+/** Metrics of one daemon, under the names that docs/OPERATIONS.md lists. Numbers of label values
     are bounded: 64 organisations, 128 servers and 64 databases by default.
 
     Thread safety: all methods may be called from any thread. */
--- a/packages/proxy/tests/FleetSimulation.h
+++ b/packages/proxy/tests/FleetSimulation.h
@@ -30,6 +30,8 @@
   void Write(const RowChange& aChange, const ChangeHandler& aHandler);
 
   bool isCut = false;
+  /** Reads and watches of this table get no answer. */
+  std::string silentTable;
   /** Writes are done and get no answer. */
   bool losesAnswers = false;
 
