--- a/packages/proxy/cluster/ClusterState.cpp
+++ b/packages/proxy/cluster/ClusterState.cpp
@@ -125,11 +125,6 @@
 
 std::optional<ServerId> ClusterState::PrimaryOf(const DatabaseName& aGroup) const
 {
-  const auto expected = this->expectedPrimary.find(aGroup);
-  if (expected != this->expectedPrimary.end() && this->servers.contains(expected->second) &&
-      !this->notPrimary.contains(expected->second)) {
-    return expected->second;
-  }
   std::optional<ServerId> best;
   std::uint64_t bestOrder = 0;
   for (const auto& [id, server] : this->servers) {
@@ -147,16 +142,9 @@
   return best;
 }
 
-void ClusterState::ExpectPrimary(const DatabaseName& aGroup, const ServerId& aId)
-{
-  this->expectedPrimary[aGroup] = aId;
-  this->notPrimary.erase(aId);
-}
-
 void ClusterState::NoteNotPrimary(const ServerId& aId)
 {
   this->notPrimary.insert(aId);
-  std::erase_if(this->expectedPrimary, [&](const auto& aEntry) { return aEntry.second == aId; });
 }
 
 std::optional<Instant> ClusterState::WithoutPrimarySince(const DatabaseName& aGroup) const
--- a/packages/proxy/cluster/ClusterState.h
+++ b/packages/proxy/cluster/ClusterState.h
@@ -61,11 +61,8 @@
       it are checked by the server (see SessionRunner). */
   std::optional<ServerId> PrimaryOf(const DatabaseName& aGroup) const;
 
-  /** Notes that the group's new primary was ordered or has shown itself. */
-  void ExpectPrimary(const DatabaseName& aGroup, const ServerId& aId);
-
   /** Notes that a server refused a statement because it doesn't lead. It isn't believed to be the
-      primary until its record changes, or until ExpectPrimary() names it. */
+      primary until its record changes. */
   void NoteNotPrimary(const ServerId& aId);
 
   /** Instant since when the group has no primary in the list; nothing while it has one. */
@@ -85,7 +82,6 @@
   std::map<ServerId, Instant> drainingSince;
   std::map<FailureDomainName, Instant> evacuated;
   std::set<ServerId> notPrimary;
-  std::map<DatabaseName, ServerId> expectedPrimary;
   /** Order in which servers were seen to become primary; the latest one is believed. */
   std::map<ServerId, std::uint64_t> primaryOrder;
   std::uint64_t lastOrder = 0;
--- a/packages/proxy/cluster/SessionRoute.h
+++ b/packages/proxy/cluster/SessionRoute.h
@@ -38,8 +38,6 @@
   Duration maxStaleness{ 0 };
   /** Time limit of one statement. */
   Duration statementTimeout{ 0 };
-  /** Latency that a whole operation should keep. */
-  Duration targetLatency{ 0 };
   /** 0 is the most urgent. */
   unsigned priority = 0;
   /** Open to clients without a key. */
--- a/packages/proxy/session/ClientSession.h
+++ b/packages/proxy/session/ClientSession.h
@@ -454,6 +454,9 @@
   /** Load that the primary has from writes and checked reads, in statements per slot. */
   static constexpr double kPrimaryPenalty = 1.0;
 
+  /** Load at which a replica that the organisation does not prefer is taken, in statements per slot. */
+  static constexpr double kForeignPenalty = 0.4;
+
   /** Servers that may hold the position that the route and the session ask for. */
   std::vector<ConnectionCandidate> ChooseReplicas(Instant aNow)
   {
@@ -477,11 +480,20 @@
           this->context.replicaPositions.IsBehind(id, *floor, aNow)) {
         continue;
       }
-      candidates.push_back({ id, primary == id ? kPrimaryPenalty : 0 });
+      candidates.push_back({ id, primary == id ? kPrimaryPenalty : this->ForeignPenalty(id) });
     }
     return candidates;
   }
 
+  /** Spreads the organisations over the replicas, so that each replica's few connections are shared by
+      fewer of them and need replacing less often. */
+  double ForeignPenalty(const ServerId& aServer) const
+  {
+    const std::size_t mixed =
+      std::hash<std::string>{}(this->organisation.Text() + "/" + aServer.Text());
+    return kForeignPenalty * static_cast<double>(mixed % 2);
+  }
+
   void OnConnection(Instant aNow, Connection* aConnection)
   {
     if (!this->flight || this->hasEnded) {
--- a/packages/proxy/tests/SessionFixture.cpp
+++ b/packages/proxy/tests/SessionFixture.cpp
@@ -40,7 +40,6 @@
   SessionRoute route;
   route.group = group;
   route.statementTimeout = milliseconds(800);
-  route.targetLatency = milliseconds(150);
   configuration.routes["bookings"] = route;
   route.consistency = ReadConsistency::Bounded;
   route.maxStaleness = milliseconds(1500);
