--- a/packages/proxy/SessionProxy.h
+++ b/packages/proxy/SessionProxy.h
@@ -67,6 +67,11 @@
     , log(aLog)
     , cluster(this->settings.keyTrust)
     , positions(this->settings.longestStaleness)
+    , chooser(this->cluster,
+              this->health,
+              this->positions,
+              this->replicaPositions,
+              this->settings.timings)
     , buckets(this->settings.vm, this->settings.rateTolerance)
     , pool(aNetwork, this->cluster, this->health, aScheduler, aLog)
     , prober(this->pool, this->cluster, this->health, this->positions, aScheduler)
@@ -113,6 +118,7 @@
                this->health,
                this->positions,
                this->replicaPositions,
+               this->chooser,
                this->buckets,
                this->gate,
                aScheduler,
@@ -325,6 +331,7 @@
   ServerHealth health;
   PositionTable positions;
   ReplicaPositions replicaPositions;
+  ServerChooser chooser;
   OrganisationBuckets buckets;
   FleetView fleet;
   ServerPool<Network> pool;
--- a/packages/proxy/coordination/FleetView.cpp
+++ b/packages/proxy/coordination/FleetView.cpp
@@ -62,8 +62,7 @@
 bool FleetView::IsUnchangedFor(const VmId& aVm, Duration aTime) const
 {
   const auto member = this->members.find(aVm);
-  return member == this->members.end() ||
-         this->readSentAt - member->second.seenSince >= aTime;
+  return member == this->members.end() || this->readSentAt - member->second.seenSince >= aTime;
 }
 
 bool FleetView::IsFresh(const VmId& aVm) const
--- /dev/null
+++ b/packages/proxy/pool/ConnectionCandidate.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "proxy/cluster/ServerRecord.h"
+
+namespace mustardshift::proxy {
+
+/** A server that may run a statement. */
+struct ConnectionCandidate
+{
+  ServerId server;
+  /** Added to the server's load, in statements per slot; steers work to other servers. */
+  double penalty = 0;
+};
+
+} // namespace mustardshift::proxy
--- a/packages/proxy/pool/ConnectionRequest.h
+++ b/packages/proxy/pool/ConnectionRequest.h
@@ -2,7 +2,7 @@
 
 #include "core/base/Instant.h"
 #include "core/base/Names.h"
-#include "proxy/cluster/ServerRecord.h"
+#include "proxy/pool/ConnectionCandidate.h"
 #include "proxy/pool/PooledConnection.h"
 
 #include <functional>
@@ -10,14 +10,6 @@
 
 namespace mustardshift::proxy {
 
-/** A server that may run a statement. */
-struct ConnectionCandidate
-{
-  ServerId server;
-  /** Added to the server's load, in statements per slot; steers work to other servers. */
-  double penalty = 0;
-};
-
 /** Asks the pool for a connection to one of several servers. */
 template<DatabaseNetwork Network>
 struct ConnectionRequest
--- a/packages/proxy/rate/OrganisationBuckets.cpp
+++ b/packages/proxy/rate/OrganisationBuckets.cpp
@@ -108,8 +108,7 @@
   entry.receivedUntil = aNow + kReceivedLife;
 }
 
-std::string OrganisationBuckets::Describe(Instant aNow,
-                                          const OrganisationName& aOrganisation) const
+std::string OrganisationBuckets::Describe(Instant aNow, const OrganisationName& aOrganisation) const
 {
   const auto found = this->entries.find(aOrganisation);
   if (found == this->entries.end()) {
--- a/packages/proxy/session/ClientSession.h
+++ b/packages/proxy/session/ClientSession.h
@@ -4,7 +4,9 @@
 #include "core/base/NameTable.h"
 #include "proxy/pool/ConnectionScript.h"
 #include "proxy/session/PreparedStatement.h"
+#include "proxy/session/ServerChoice.h"
 #include "proxy/session/SessionContext.h"
+#include "proxy/session/SetupCommands.h"
 #include "proxy/statement/ClientReply.h"
 #include "proxy/statement/Statement.h"
 
@@ -155,19 +157,6 @@
     Failed,
   };
 
-  /** How the running statement is kept consistent. */
-  enum class Path
-  {
-    /** The server has to hold a log position. */
-    Position,
-    /** The primary has to accept a transaction around the read. */
-    CheckedPrimary,
-    /** A write or a transaction, which only the primary accepts. */
-    Primary,
-    /** The connection of the open transaction. */
-    Pinned,
-  };
-
   struct Flight
   {
     std::string requestId;
@@ -177,7 +166,7 @@
     Instant deadline{};
     unsigned tries = 0;
     std::set<ServerId> excluded;
-    Path path = Path::Primary;
+    StatementPath path = StatementPath::Primary;
     std::optional<LogPosition> floor;
     typename ServerPool<Network>::Ticket ticket = 0;
     TokenGate::Ticket tokenTicket = 0;
@@ -332,7 +321,7 @@
         this->FailTransaction(aNow, ErrorCode::Aborted, "the server connection was lost");
         return;
       }
-      this->flight->path = Path::Pinned;
+      this->flight->path = StatementPath::Pinned;
       this->RunStatement(aNow);
       return;
     }
@@ -416,82 +405,19 @@
     }
   }
 
+  /** Chooses the servers for the statement; none when it is hopeless now. */
   std::vector<ConnectionCandidate> ChooseCandidates(Instant aNow)
   {
     const bool isPlainTransaction = this->transaction == Transaction::Pending && !this->isReadOnly;
-    const bool isWrite = this->IsWrite() || isPlainTransaction;
-    if (!isWrite && this->route.consistency != ReadConsistency::Primary &&
-        this->flight->excluded.size() < kMostReplicasTried) {
-      std::vector<ConnectionCandidate> candidates = this->ChooseReplicas(aNow);
-      if (!candidates.empty()) {
-        this->flight->path = Path::Position;
-        return candidates;
-      }
-    }
-    // The primary of the latest term holds every position that can still be reached.
-    this->flight->floor.reset();
-    this->flight->path = isWrite ? Path::Primary : Path::CheckedPrimary;
-    return this->ChoosePrimary(aNow);
-  }
-
-  std::vector<ConnectionCandidate> ChoosePrimary(Instant aNow) const
-  {
-    const std::optional<ServerId> primary = this->context.cluster.PrimaryOf(this->route.group);
-    if (!primary || this->context.health.IsUnreachable(*primary, aNow)) {
-      return {};
-    }
-    const std::optional<Instant> leaving = this->context.cluster.LeavingSince(*primary);
-    if (leaving && aNow - *leaving > this->context.timings.leavingPrimary) {
-      return {};
-    }
-    return { { *primary, 0 } };
-  }
-
-  /** Servers that are tried for a position before the primary is asked, which has every position.
-   */
-  static constexpr std::size_t kMostReplicasTried = 2;
-
-  /** Load that the primary has from writes and checked reads, in statements per slot. */
-  static constexpr double kPrimaryPenalty = 1.0;
-
-  /** Load at which a replica that the organisation does not prefer is taken, in statements per slot. */
-  static constexpr double kForeignPenalty = 0.4;
-
-  /** Servers that may hold the position that the route and the session ask for. */
-  std::vector<ConnectionCandidate> ChooseReplicas(Instant aNow)
-  {
-    const Duration age = this->route.maxStaleness - this->context.timings.stalenessMargin;
-    if (age <= Duration::zero()) {
-      return {};
-    }
-    std::optional<LogPosition> floor =
-      this->context.positions.FloorFor(this->route.group, age, aNow);
-    if (!floor) {
-      return {};
-    }
-    if (this->route.consistency == ReadConsistency::Session && this->lastWrite) {
-      floor = std::max(*floor, *this->lastWrite);
-    }
-    this->flight->floor = floor;
-    const std::optional<ServerId> primary = this->context.cluster.PrimaryOf(this->route.group);
-    std::vector<ConnectionCandidate> candidates;
-    for (const ServerId& id : this->context.cluster.ReadyServers(this->route.group)) {
-      if (this->flight->excluded.contains(id) || this->context.health.IsUnreachable(id, aNow) ||
-          this->context.replicaPositions.IsBehind(id, *floor, aNow)) {
-        continue;
-      }
-      candidates.push_back({ id, primary == id ? kPrimaryPenalty : this->ForeignPenalty(id) });
-    }
-    return candidates;
-  }
-
-  /** Spreads the organisations over the replicas, so that each replica's few connections are shared by
-      fewer of them and need replacing less often. */
-  double ForeignPenalty(const ServerId& aServer) const
-  {
-    const std::size_t mixed =
-      std::hash<std::string>{}(this->organisation.Text() + "/" + aServer.Text());
-    return kForeignPenalty * static_cast<double>(mixed % 2);
+    ServerChoice choice = this->context.chooser.Choose(aNow,
+                                                       { this->route,
+                                                         this->organisation,
+                                                         this->IsWrite() || isPlainTransaction,
+                                                         this->lastWrite,
+                                                         this->flight->excluded });
+    this->flight->path = choice.path;
+    this->flight->floor = choice.floor;
+    return std::move(choice.candidates);
   }
 
   void OnConnection(Instant aNow, Connection* aConnection)
@@ -512,62 +438,15 @@
     this->RunStatement(aNow);
   }
 
-  /** Commands that bring the connection's values in line with the session's. */
-  void AddValueCommands(std::vector<ServerCommand>& aCommands) const
-  {
-    const bool hasForeign =
-      std::any_of(this->connection->values.begin(),
-                  this->connection->values.end(),
-                  [&](const auto& aEntry) { return !this->values.contains(aEntry.first); });
-    if (hasForeign) {
-      ServerCommand reset;
-      reset.kind = ServerCommandKind::Reset;
-      aCommands.push_back(std::move(reset));
-    }
-    for (const auto& [name, value] : this->values) {
-      const auto present = this->connection->values.find(name);
-      if (!hasForeign && present != this->connection->values.end() && present->second == value) {
-        continue;
-      }
-      ServerCommand set;
-      set.kind = ServerCommandKind::SetValue;
-      set.name = name;
-      set.body = value;
-      aCommands.push_back(std::move(set));
-    }
-  }
-
-  /** Prepares what the statement executes, unless the connection has it. */
-  void AddPrepareCommand(std::vector<ServerCommand>& aCommands) const
-  {
-    if (this->flight->statement.kind != StatementKind::Execute) {
-      return;
-    }
-    const PreparedStatement& prepared = *this->FindPrepared();
-    const bool willReset =
-      std::any_of(aCommands.begin(), aCommands.end(), [](const ServerCommand& aCommand) {
-        return aCommand.kind == ServerCommandKind::Reset;
-      });
-    if (!willReset && this->connection->prepared.contains(prepared.SharedName())) {
-      return;
-    }
-    ServerCommand prepare;
-    prepare.kind = ServerCommandKind::Prepare;
-    prepare.name = prepared.SharedName();
-    prepare.body = prepared.shape;
-    prepare.access = prepared.access;
-    aCommands.push_back(std::move(prepare));
-  }
-
   void AddBeginCommand(std::vector<ServerCommand>& aCommands) const
   {
     const bool isPending = this->transaction == Transaction::Pending;
-    if (!isPending && this->flight->path != Path::CheckedPrimary) {
+    if (!isPending && this->flight->path != StatementPath::CheckedPrimary) {
       return;
     }
     ServerCommand begin;
-    begin.kind = this->flight->path == Path::Position ? ServerCommandKind::BeginReadOnly
-                                                      : ServerCommandKind::Begin;
+    begin.kind = this->flight->path == StatementPath::Position ? ServerCommandKind::BeginReadOnly
+                                                               : ServerCommandKind::Begin;
     begin.after = this->flight->floor;
     aCommands.push_back(std::move(begin));
   }
@@ -584,7 +463,7 @@
       command.kind = ServerCommandKind::Forward;
       command.text = this->flight->statement.text;
     }
-    if (this->flight->path == Path::Position && this->transaction == Transaction::None) {
+    if (this->flight->path == StatementPath::Position && this->transaction == Transaction::None) {
       command.after = this->flight->floor;
     }
     return command;
@@ -594,10 +473,13 @@
   {
     std::vector<ServerCommand> commands;
     if (!this->IsCommit()) {
-      this->AddValueCommands(commands);
-      this->AddPrepareCommand(commands);
+      const bool isExecute = this->flight->statement.kind == StatementKind::Execute;
+      commands = MakeSetupCommands(this->connection->values,
+                                   this->connection->prepared,
+                                   this->values,
+                                   isExecute ? this->FindPrepared() : nullptr);
     }
-    if (this->flight->path != Path::Pinned) {
+    if (this->flight->path != StatementPath::Pinned) {
       this->AddBeginCommand(commands);
     }
     commands.push_back(this->MakeCommand());
@@ -619,7 +501,7 @@
       statements is only slow, and keeps it. */
   void ArmSilenceTimer(Instant aNow)
   {
-    if (this->MayKeepSomething() || this->flight->path == Path::Pinned) {
+    if (this->MayKeepSomething() || this->flight->path == StatementPath::Pinned) {
       return;
     }
     this->flight->silenceTimer = this->context.scheduler.Schedule(
@@ -651,7 +533,7 @@
       another connection. */
   void ExcludeReplica(const ServerId& aServer)
   {
-    if (this->flight->path == Path::Position) {
+    if (this->flight->path == StatementPath::Position) {
       this->flight->excluded.insert(aServer);
     }
   }
@@ -703,7 +585,7 @@
   void OnSetupFailed(Instant aNow, const ScriptResult& aResult)
   {
     const ServerId server = this->connection->server;
-    if (this->flight->path == Path::Pinned) {
+    if (this->flight->path == StatementPath::Pinned) {
       this->DropConnection(aNow);
       this->FailTransaction(aNow, ErrorCode::Aborted, "the server connection failed");
       return;
@@ -741,7 +623,7 @@
     if (isCommit) {
       this->transaction = Transaction::None;
     }
-    const bool isOnReplica = this->flight->path == Path::Position;
+    const bool isOnReplica = this->flight->path == StatementPath::Position;
     // A checked read leaves its transaction open at the server.
     if (this->transaction != Transaction::Open) {
       this->ReleaseConnection(aNow, reply.state != TransactionState::Idle);
@@ -835,7 +717,7 @@
         return;
       case ErrorCode::Busy:
         // Elsewhere at once if another server can run it, else here after a pause.
-        if (this->flight->path == Path::Position) {
+        if (this->flight->path == StatementPath::Position) {
           this->flight->excluded.insert(aServer);
           this->Retry(aNow, "server busy", false);
           return;
--- /dev/null
+++ b/packages/proxy/session/ServerChooser.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "core/base/Instant.h"
+#include "proxy/cluster/ClusterState.h"
+#include "proxy/pool/ServerHealth.h"
+#include "proxy/session/PositionTable.h"
+#include "proxy/session/ReplicaPositions.h"
+#include "proxy/session/ServerChoice.h"
+#include "proxy/session/SessionTimings.h"
+
+#include <vector>
+
+namespace mustardshift::proxy {
+
+/** Decides where a statement may run. Reads go to replicas that hold what the route and the session
+    ask for, as far as a proved position of the primary tells; otherwise to the primary.
+
+    Thread safety: const methods only read; the state that they read belongs to one thread. */
+class ServerChooser
+{
+public:
+  /** The references have to outlive the chooser. */
+  ServerChooser(const ClusterState& aCluster,
+                const ServerHealth& aHealth,
+                const PositionTable& aPositions,
+                const ReplicaPositions& aReplicaPositions,
+                SessionTimings aTimings)
+    : cluster(aCluster)
+    , health(aHealth)
+    , positions(aPositions)
+    , replicaPositions(aReplicaPositions)
+    , timings(aTimings)
+  {
+  }
+
+  ServerChoice Choose(Instant aNow, const ChoiceRequest& aRequest) const;
+
+private:
+  std::optional<LogPosition> FloorOf(Instant aNow, const ChoiceRequest& aRequest) const;
+  std::vector<ConnectionCandidate> ChooseHolders(Instant aNow,
+                                                 const ChoiceRequest& aRequest,
+                                                 LogPosition aFloor) const;
+  std::vector<ConnectionCandidate> ChoosePrimary(Instant aNow, const DatabaseName& aGroup) const;
+
+  const ClusterState& cluster;
+  const ServerHealth& health;
+  const PositionTable& positions;
+  const ReplicaPositions& replicaPositions;
+  SessionTimings timings;
+};
+
+} // namespace mustardshift::proxy
--- a/packages/proxy/session/SessionContext.h
+++ b/packages/proxy/session/SessionContext.h
@@ -9,6 +9,7 @@
 #include "proxy/schedule/Scheduler.h"
 #include "proxy/session/PositionTable.h"
 #include "proxy/session/ReplicaPositions.h"
+#include "proxy/session/ServerChooser.h"
 #include "proxy/session/SessionTimings.h"
 #include "proxy/session/StatementOutcome.h"
 
@@ -27,6 +28,7 @@
   ServerHealth& health;
   PositionTable& positions;
   ReplicaPositions& replicaPositions;
+  const ServerChooser& chooser;
   OrganisationBuckets& buckets;
   TokenGate& gate;
   Scheduler& scheduler;
--- /dev/null
+++ b/packages/proxy/session/SetupCommands.cpp
@@ -0,0 +1,47 @@
+#include "proxy/session/SetupCommands.h"
+
+#include <algorithm>
+
+namespace mustardshift::proxy {
+
+std::vector<ServerCommand> MakeSetupCommands(
+  const std::map<std::string, std::string>& aConnectionValues,
+  const std::set<std::string>& aConnectionPrepared,
+  const std::map<std::string, std::string>& aSessionValues,
+  const PreparedStatement* aPrepared)
+{
+  std::vector<ServerCommand> commands;
+  // A value can't be taken back alone; a reset drops the prepared names as well.
+  const bool needsReset =
+    std::any_of(aConnectionValues.begin(), aConnectionValues.end(), [&](const auto& aEntry) {
+      return !aSessionValues.contains(aEntry.first);
+    });
+  if (needsReset) {
+    ServerCommand reset;
+    reset.kind = ServerCommandKind::Reset;
+    commands.push_back(std::move(reset));
+  }
+  for (const auto& [name, value] : aSessionValues) {
+    const auto present = aConnectionValues.find(name);
+    if (!needsReset && present != aConnectionValues.end() && present->second == value) {
+      continue;
+    }
+    ServerCommand set;
+    set.kind = ServerCommandKind::SetValue;
+    set.name = name;
+    set.body = value;
+    commands.push_back(std::move(set));
+  }
+  if (aPrepared != nullptr &&
+      (needsReset || !aConnectionPrepared.contains(aPrepared->SharedName()))) {
+    ServerCommand prepare;
+    prepare.kind = ServerCommandKind::Prepare;
+    prepare.name = aPrepared->SharedName();
+    prepare.body = aPrepared->shape;
+    prepare.access = aPrepared->access;
+    commands.push_back(std::move(prepare));
+  }
+  return commands;
+}
+
+} // namespace mustardshift::proxy
--- /dev/null
+++ b/packages/proxy/tests/EventLogTest.cpp
@@ -0,0 +1,57 @@
+#include "proxy/log/EventLog.h"
+#include "support/Section.h"
+
+#include <chrono>
+#include <cppunit/extensions/HelperMacros.h>
+#include <string>
+#include <vector>
+
+namespace mustardshift::proxy {
+
+using mustardshift::test::Section;
+using std::chrono::seconds;
+
+/** Guards against a log that grows with the load, hides what it left out, or can be forged by what
+    clients send. */
+class EventLogTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(EventLogTest);
+  CPPUNIT_TEST(TheNumberOfLinesIsBounded);
+  CPPUNIT_TEST(ValuesStayOnTheirLine);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void TheNumberOfLinesIsBounded()
+  {
+    std::vector<std::string> lines;
+    EventLog log([&](std::string aLine) { lines.push_back(std::move(aLine)); }, 10);
+    const Instant start{ seconds(100) };
+    for (int count = 0; count < 1000; ++count) {
+      log.Write(start, "statement", "done", {});
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t(10), lines.size());
+    Section("events that change what the VM believes are written all the same", [&] {
+      log.WriteAlways(start, "configuration", "in-force", {});
+      CPPUNIT_ASSERT_EQUAL(std::string("100000 configuration in-force"), lines.back());
+    });
+    Section("what was left out is reported", [&] {
+      log.Write(start + seconds(1), "statement", "done", {});
+      CPPUNIT_ASSERT_EQUAL(std::string("101000 log lines-dropped count=990"),
+                           lines.at(lines.size() - 2));
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t(990), log.DroppedLines());
+    });
+  }
+
+  void ValuesStayOnTheirLine()
+  {
+    std::string line;
+    EventLog log([&](std::string aLine) { line = std::move(aLine); }, 10);
+    log.Write(
+      Instant{ seconds(1) }, "statement", "done", { { "id", "a\r\nb \"c" }, { "kind", "read" } });
+    CPPUNIT_ASSERT_EQUAL(std::string("1000 statement done id=\"a''b 'c\" kind=read"), line);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(EventLogTest);
+
+} // namespace mustardshift::proxy
--- a/packages/proxy/tests/SessionFixture.h
+++ b/packages/proxy/tests/SessionFixture.h
@@ -49,12 +49,14 @@
   OrganisationBuckets buckets{ VmId("vm-1") };
   ServerPool<FakeNetwork> pool{ network, cluster, health, scheduler, log };
   std::vector<StatementOutcome> outcomes;
+  ServerChooser chooser{ cluster, health, positions, replicaPositions, {} };
   TokenGate gate{ this->buckets, this->scheduler };
   SessionContext<FakeNetwork> context{ cluster,
                                        pool,
                                        health,
                                        positions,
                                        replicaPositions,
+                                       chooser,
                                        buckets,
                                        gate,
                                        scheduler,
