--- a/packages/proxy/tests/FleetSimulation.cpp
+++ b/packages/proxy/tests/FleetSimulation.cpp
@@ -43,12 +43,12 @@
 void StoreAccess::Watch(const std::string& aTable,
                         std::uint64_t aAfter,
                         Duration aWait,
-                        RowsHandler aHandler)
+                        const RowsHandler& aHandler)
 {
   if (this->isCut || this->silentTable == aTable) {
     FailLater(this->scheduler,
               this->store.now,
-              std::move(aHandler),
+              aHandler,
               tl::expected<StoredRows, StoreFailure>(tl::unexpected(StoreFailure::NoAnswer)));
     return;
   }
@@ -90,7 +90,7 @@
 }
 
 void FakeOrders::Send(const PromotionOrder& aOrder,
-                      std::function<void(Instant, OrderResult)> aHandler)
+                      const std::function<void(Instant, OrderResult)>& aHandler)
 {
   this->sent.push_back(aOrder);
   if (this->late) {
--- a/packages/proxy/tests/FleetSimulation.h
+++ b/packages/proxy/tests/FleetSimulation.h
@@ -26,7 +26,10 @@
   {
   }
   void Read(const std::string& aTable, const RowsHandler& aHandler);
-  void Watch(const std::string& aTable, std::uint64_t aAfter, Duration aWait, RowsHandler aHandler);
+  void Watch(const std::string& aTable,
+             std::uint64_t aAfter,
+             Duration aWait,
+             const RowsHandler& aHandler);
   void Write(const RowChange& aChange, const ChangeHandler& aHandler);
 
   bool isCut = false;
@@ -51,7 +54,8 @@
     : scheduler(aScheduler)
   {
   }
-  void Send(const PromotionOrder& aOrder, std::function<void(Instant, OrderResult)> aHandler);
+  void Send(const PromotionOrder& aOrder,
+            const std::function<void(Instant, OrderResult)>& aHandler);
 
   /** Gets each order that passes the fence. */
   std::function<void(const PromotionOrder&)> onAccepted;
--- a/packages/proxy/tests/RateAllocationTest.cpp
+++ b/packages/proxy/tests/RateAllocationTest.cpp
@@ -275,6 +275,7 @@
               const std::map<OrganisationName, OrganisationLimit>& aLimits)
   {
     std::vector<RateMember> members;
+    members.reserve(aVms.size());
     for (const HistoryVm& vm : aVms) {
       members.push_back({ vm.id, vm.inForce.version, { { kBlue, vm.demand } }, false });
     }
