Ask a server that refused as not the primary again after a second

Cause, found by reading: a VM that missed that a server lost the lead and got it back never believed it again, since its entry had not changed. FleetHistoryTest APrimaryThatRefusedOnceIsAskedAgain failed before. Also forgets the positions and pool entries of servers that are gone.

--- a/packages/proxy/SessionProxy.h
+++ b/packages/proxy/SessionProxy.h
@@ -288,6 +288,7 @@
       }
       this->cluster.RemoveServer(aEntry.first, aNow);
       this->health.Forget(aEntry.first);
+      this->replicaPositions.Forget(aEntry.first);
       return true;
     });
   }
@@ -316,6 +317,7 @@
   {
     this->ShareConnections(aNow);
     this->RemoveGoneServers(aNow);
+    this->cluster.ForgetOldRefusals(aNow);
     this->prober.Step(aNow);
     this->coordinator.SetUnreachable(aNow, this->prober.UnreachablePrimaries(aNow));
     this->coordinator.SetUrgent(this->driver.HasWork(aNow));
--- a/packages/proxy/cluster/ClusterState.cpp
+++ b/packages/proxy/cluster/ClusterState.cpp
@@ -142,9 +142,10 @@
   return best;
 }
 
-void ClusterState::NoteNotPrimary(const ServerId& aId)
+void ClusterState::ForgetOldRefusals(Instant aNow)
 {
-  this->notPrimary.insert(aId);
+  std::erase_if(this->notPrimary,
+                [&](const auto& aEntry) { return aNow - aEntry.second >= kNotPrimaryFor; });
 }
 
 std::optional<Instant> ClusterState::WithoutPrimarySince(const DatabaseName& aGroup) const
--- a/packages/proxy/cluster/ClusterState.h
+++ b/packages/proxy/cluster/ClusterState.h
@@ -17,6 +17,9 @@
 class ClusterState
 {
 public:
+  /** See NoteNotPrimary(); about the time that a change of role takes to show in the list. */
+  static constexpr Duration kNotPrimaryFor = std::chrono::milliseconds(1000);
+
   /** @param aKeyTrust  how long after its last confirmation the configuration may be used for
                         requests with a key. */
   explicit ClusterState(Duration aKeyTrust)
@@ -62,8 +65,11 @@
   std::optional<ServerId> PrimaryOf(const DatabaseName& aGroup) const;
 
   /** Notes that a server refused a statement because it doesn't lead. It isn't believed to be the
-      primary until its record changes. */
-  void NoteNotPrimary(const ServerId& aId);
+      primary until its record changes, or for kNotPrimaryFor: it may have lost the lead and got it
+      back unseen, and asking it again is safe. */
+  void NoteNotPrimary(const ServerId& aId, Instant aNow) { this->notPrimary[aId] = aNow; }
+  /** Drops what NoteNotPrimary() noted too long ago. */
+  void ForgetOldRefusals(Instant aNow);
 
   /** Instant since when the group has no primary in the list; nothing while it has one. */
   std::optional<Instant> WithoutPrimarySince(const DatabaseName& aGroup) const;
@@ -81,7 +87,7 @@
   /** Instant of the change to draining. */
   std::map<ServerId, Instant> drainingSince;
   std::map<FailureDomainName, Instant> evacuated;
-  std::set<ServerId> notPrimary;
+  std::map<ServerId, Instant> notPrimary;
   /** Order in which servers were seen to become primary; the latest one is believed. */
   std::map<ServerId, std::uint64_t> primaryOrder;
   std::uint64_t lastOrder = 0;
--- a/packages/proxy/pool/ServerPool.h
+++ b/packages/proxy/pool/ServerPool.h
@@ -133,6 +133,10 @@
         this->Remove(oldest);
       }
     }
+    std::erase_if(this->servers, [&](const auto& aEntry) {
+      return aEntry.second.connections.empty() && aEntry.second.opening == 0 &&
+             this->cluster.Find(aEntry.first) == nullptr;
+    });
   }
 
   /** Statements, transactions and openings under way at a server, and idle connections. */
--- a/packages/proxy/promotion/PrimaryProber.h
+++ b/packages/proxy/promotion/PrimaryProber.h
@@ -131,7 +131,7 @@
     }
     if (aResult.reply.status == ReplyStatus::Refused &&
         aResult.reply.error == ErrorCode::ReadOnly) {
-      this->cluster.NoteNotPrimary(aConnection->server);
+      this->cluster.NoteNotPrimary(aConnection->server, aNow);
     }
     if (aResult.reply.status == ReplyStatus::Lost ||
         aResult.reply.state != TransactionState::Idle) {
--- a/packages/proxy/session/ClientSession.h
+++ b/packages/proxy/session/ClientSession.h
@@ -640,7 +640,7 @@
     const ServerReply& reply = aResult.reply;
     const ServerId server = this->connection->server;
     if (reply.error == ErrorCode::ReadOnly) {
-      this->context.cluster.NoteNotPrimary(server);
+      this->context.cluster.NoteNotPrimary(server, aNow);
     }
     if (reply.error == ErrorCode::UnknownStatement) {
       this->connection->prepared.clear();
@@ -708,7 +708,7 @@
   {
     switch (aError) {
       case ErrorCode::ReadOnly:
-        this->context.cluster.NoteNotPrimary(aServer);
+        this->context.cluster.NoteNotPrimary(aServer, aNow);
         this->Retry(aNow, "not the primary", false);
         return;
       case ErrorCode::Lagging:
--- a/packages/proxy/session/ReplicaPositions.h
+++ b/packages/proxy/session/ReplicaPositions.h
@@ -23,6 +23,8 @@
     this->entries[aId] = { aPosition, aNow };
   }
 
+  void Forget(const ServerId& aId) { this->entries.erase(aId); }
+
   /** Whether the server has lately been behind a position. */
   bool IsBehind(const ServerId& aId, LogPosition aPosition, Instant aNow) const
   {
--- a/packages/proxy/tests/FleetHistoryTest.cpp
+++ b/packages/proxy/tests/FleetHistoryTest.cpp
@@ -21,6 +21,7 @@
   CPPUNIT_TEST_SUITE(FleetHistoryTest);
   CPPUNIT_TEST(ADeadPrimaryIsReplacedOnce);
   CPPUNIT_TEST(APrimaryThatFewCantReachStays);
+  CPPUNIT_TEST(APrimaryThatRefusedOnceIsAskedAgain);
   CPPUNIT_TEST(AnotherVmTakesTheDutyOver);
   CPPUNIT_TEST(LateOrdersDontUndoNewerOnes);
   CPPUNIT_TEST(EvacuatedPrimariesAreReplaced);
@@ -74,6 +75,31 @@
     CPPUNIT_ASSERT(fleet.orders.sent.empty());
   }
 
+  /** A VM that missed that a server lost the lead and got it back sees no change of its entry. */
+  void APrimaryThatRefusedOnceIsAskedAgain()
+  {
+    FleetSimulation fleet(2, 8);
+    fleet.network.Server("s1").isPrimary = false;
+    std::size_t refused = 0;
+    for (std::size_t vm = 0; vm < 2; ++vm) {
+      fleet.Ask(vm, "bookings", "key-blue", "READ x", [&](Instant, const ClientReply& aReply) {
+        refused += aReply.error ? 1 : 0;
+      });
+    }
+    fleet.Advance(milliseconds(200));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), refused);
+    fleet.network.Server("s1").isPrimary = true;
+    fleet.Advance(seconds(2));
+    std::size_t served = 0;
+    for (std::size_t vm = 0; vm < 2; ++vm) {
+      fleet.Ask(vm, "bookings", "key-blue", "READ x", [&](Instant, const ClientReply& aReply) {
+        served += aReply.error ? 0 : 1;
+      });
+    }
+    fleet.Advance(milliseconds(200));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), served);
+  }
+
   void AnotherVmTakesTheDutyOver()
   {
     FleetSimulation fleet(5, 4);
