--- a/packages/proxy/cluster/ClusterState.h
+++ b/packages/proxy/cluster/ClusterState.h
@@ -51,7 +51,6 @@
   bool HasServers() const { return this->hasServers; }
   Instant ConfirmedAt() const { return this->confirmedAt; }
   const std::map<ServerId, ServerRecord>& Servers() const { return this->servers; }
-  const std::map<FailureDomainName, Instant>& Evacuated() const { return this->evacuated; }
   const ServerRecord* Find(const ServerId& aId) const;
 
   /** Servers of a group that may be given new work: ready, and in a failure domain in service. */
--- a/packages/proxy/coordination/FleetCoordinator.h
+++ b/packages/proxy/coordination/FleetCoordinator.h
@@ -96,9 +96,6 @@
     this->inForce = this->fleet.Allocation();
   }
 
-  /** End of this VM's lease on its rate shares. */
-  Instant LeaseUntil() const { return this->leaseUntil; }
-
   /** Until when this VM may order promotions, if it holds the duty. */
   Instant DutyLeaseUntil() const
   {
@@ -283,6 +280,7 @@
   /** The allocation that the buckets follow. */
   RateAllocation inForce;
   std::set<ServerId> unreachable;
+  /** End of this VM's lease on its rate shares. */
   Instant leaseUntil{};
   /** Instant before a renewal was sent that was answered after the lease had ended. */
   std::optional<Instant> renewedAfterGap;
--- a/packages/proxy/pool/ServerPool.h
+++ b/packages/proxy/pool/ServerPool.h
@@ -139,17 +139,12 @@
     });
   }
 
-  /** Statements, transactions and openings under way at a server, and idle connections. */
+  /** Statements, transactions and openings under way at a server. */
   std::size_t BusyCount(const ServerId& aId) const
   {
     const auto server = this->servers.find(aId);
     return server == this->servers.end() ? 0 : CountBusy(server->second);
   }
-  std::size_t ConnectionCount(const ServerId& aId) const
-  {
-    const auto server = this->servers.find(aId);
-    return server == this->servers.end() ? 0 : server->second.connections.size();
-  }
   std::size_t WaitingCount() const { return this->waiters.size(); }
   std::uint64_t OpenedCount() const { return this->opened; }
 
--- a/packages/proxy/session/ClientSession.h
+++ b/packages/proxy/session/ClientSession.h
@@ -553,6 +553,10 @@
       this->FinishAfterEnd(aNow, aResult);
       return;
     }
+    if (aResult.reply.status == ReplyStatus::Refused &&
+        aResult.reply.error == ErrorCode::ReadOnly) {
+      this->context.cluster.NoteNotPrimary(this->connection->server, aNow);
+    }
     if (!aResult.isLast) {
       this->OnSetupFailed(aNow, aResult);
       return;
@@ -584,7 +588,6 @@
   /** A command before the statement failed, so the statement has not run. */
   void OnSetupFailed(Instant aNow, const ScriptResult& aResult)
   {
-    const ServerId server = this->connection->server;
     if (this->flight->path == StatementPath::Pinned) {
       this->DropConnection(aNow);
       this->FailTransaction(aNow, ErrorCode::Aborted, "the server connection failed");
@@ -593,12 +596,12 @@
     const bool isBegin = aResult.command == ServerCommandKind::Begin ||
                          aResult.command == ServerCommandKind::BeginReadOnly;
     if (aResult.reply.status == ReplyStatus::Refused && isBegin) {
+      const ServerId server = this->connection->server;
       this->ReleaseConnection(aNow, aResult.reply.state != TransactionState::Idle);
       this->RetryRefused(aNow, server, aResult.reply.error);
       return;
     }
-    this->DropConnection(aNow);
-    this->ExcludeReplica(server);
+    this->LoseConnection(aNow);
     this->Retry(aNow, "setup failed", false);
   }
 
@@ -639,9 +642,6 @@
   {
     const ServerReply& reply = aResult.reply;
     const ServerId server = this->connection->server;
-    if (reply.error == ErrorCode::ReadOnly) {
-      this->context.cluster.NoteNotPrimary(server, aNow);
-    }
     if (reply.error == ErrorCode::UnknownStatement) {
       this->connection->prepared.clear();
     }
@@ -689,9 +689,7 @@
   void OnLost(Instant aNow)
   {
     const bool mayKeep = this->MayKeepSomething();
-    const ServerId server = this->connection->server;
-    this->DropConnection(aNow);
-    this->ExcludeReplica(server);
+    this->LoseConnection(aNow);
     if (mayKeep) {
       this->FailUndecided(aNow);
       return;
@@ -708,7 +706,6 @@
   {
     switch (aError) {
       case ErrorCode::ReadOnly:
-        this->context.cluster.NoteNotPrimary(aServer, aNow);
         this->Retry(aNow, "not the primary", false);
         return;
       case ErrorCode::Lagging:
