Ignore reads of the fleet's table that are behind what the store has shown

Cause: a read that is answered from an older state, or the overlapping answer of one, was taken as the present one if it had been sent last. A VM then put an older division of the rates in force, with parts that others held by then, and believed in an older holder of the promotion duty. Change: a read has to show at least the latest version that was known when it was sent (of a read, or of the VM's own row). Test: FleetHistoryTest::StaleReadsTakeNothingBack, failing before.

--- a/packages/proxy/coordination/FleetCoordinator.h
+++ b/packages/proxy/coordination/FleetCoordinator.h
@@ -112,10 +112,11 @@
       return;
     }
     ++this->reads;
-    this->store.Read(std::string(FleetView::kTable), [this, aNow](Instant aThen, auto aRows) {
-      --this->reads;
-      this->OnRows(aThen, aNow, aRows);
-    });
+    this->store.Read(std::string(FleetView::kTable),
+                     [this, aNow, known = this->latestVersion](Instant aThen, auto aRows) {
+                       --this->reads;
+                       this->OnRows(aThen, aNow, known, aRows);
+                     });
   }
 
   void ReadAgain(Instant aNow)
@@ -126,7 +127,11 @@
       [this](Instant aThen) { this->ReadAgain(aThen); });
   }
 
-  void OnRows(Instant aNow, Instant aSentAt, const tl::expected<StoredRows, StoreFailure>& aRows)
+  /** @param aKnown  latest version that was known when the read was sent. */
+  void OnRows(Instant aNow,
+              Instant aSentAt,
+              std::uint64_t aKnown,
+              const tl::expected<StoredRows, StoreFailure>& aRows)
   {
     if (!aRows) {
       this->log.Write(aNow,
@@ -138,7 +143,17 @@
     if (aSentAt < this->latestRead) {
       return;
     }
+    if (aRows->version < aKnown) {
+      // An older division would bring parts back that others hold by now.
+      this->log.Write(
+        aNow,
+        "fleet",
+        "read-behind",
+        { { "version", std::to_string(aRows->version) }, { "known", std::to_string(aKnown) } });
+      return;
+    }
     this->latestRead = aSentAt;
+    this->latestVersion = std::max(this->latestVersion, aRows->version);
     for (const std::string& key : this->fleet.Take(aNow, aSentAt, aRows->rows)) {
       this->log.Write(aNow, "fleet", "malformed-row", { { "key", key } });
     }
@@ -201,16 +216,22 @@
                                  std::nullopt },
                       [this, aNow](Instant aThen, auto aVersion) {
                         --this->writes;
-                        this->OnRenewed(aThen, aNow, aVersion.has_value());
+                        this->OnRenewed(aThen, aNow, aVersion);
                       });
   }
 
-  void OnRenewed(Instant aNow, Instant aSentAt, bool aIsWritten)
+  void OnRenewed(Instant aNow,
+                 Instant aSentAt,
+                 const tl::expected<std::uint64_t, StoreFailure>& aVersion)
   {
-    if (!aIsWritten) {
-      this->log.Write(aNow, "fleet", "renewal-failed", {});
+    if (!aVersion) {
+      this->log.Write(aNow,
+                      "fleet",
+                      "renewal-failed",
+                      { { "failure", std::string(NameOf(kStoreFailureNames, aVersion.error())) } });
       return;
     }
+    this->latestVersion = std::max(this->latestVersion, *aVersion);
     if (aNow < this->leaseUntil) {
       this->ExtendLease(aSentAt);
       return;
@@ -276,6 +297,8 @@
   unsigned reads = 0;
   unsigned writes = 0;
   Instant latestRead{};
+  /** Latest version that the store has shown: of a read, or of this VM's row. */
+  std::uint64_t latestVersion = 0;
   std::uint64_t sequence = 0;
   /** The allocation that the buckets follow. */
   RateAllocation inForce;
--- a/packages/proxy/tests/FakeStore.cpp
+++ b/packages/proxy/tests/FakeStore.cpp
@@ -41,11 +41,6 @@
   this->AnswerLater(kAnswerTime, aHandler, Result(std::move(rows)));
 }
 
-void FakeStore::ReadStale()
-{
-  this->staleTables.emplace(this->tables, this->version);
-}
-
 StoredRows FakeStore::ChangesSince(const std::string& aTable, std::uint64_t aAfter) const
 {
   StoredRows changes;
--- a/packages/proxy/tests/FakeStore.h
+++ b/packages/proxy/tests/FakeStore.h
@@ -46,8 +46,14 @@
   void Remove(const std::string& aTable, const std::string& aKey);
   /** Forgets the history: watches from a version before the present one fail. */
   void Compact() { this->historyStart = this->version; }
-  /** Whole reads answer with the table as it is now, until ReadFresh(). */
-  void ReadStale();
+  using Table = std::map<std::string, StoredRow>;
+  /** All tables as of one version, and the version. */
+  using Snapshot = std::pair<std::map<std::string, Table>, std::uint64_t>;
+  Snapshot TakeSnapshot() const { return { this->tables, this->version }; }
+  /** Whole reads answer with the tables of a snapshot, until ReadFresh(). */
+  void ReadStale(Snapshot aSnapshot) { this->staleTables = std::move(aSnapshot); }
+  /** Whole reads answer with the tables as they are now, until ReadFresh(). */
+  void ReadStale() { this->ReadStale(this->TakeSnapshot()); }
   void ReadFresh() { this->staleTables.reset(); }
 
   /** Decides about each call by its name: "read", "watch", "write". */
@@ -61,7 +67,6 @@
   std::vector<std::uint64_t> watchedAfter;
 
 private:
-  using Table = std::map<std::string, StoredRow>;
   struct PendingWatch
   {
     std::string table;
@@ -79,7 +84,7 @@
 
   Scheduler& scheduler;
   std::map<std::string, Table> tables;
-  std::optional<std::pair<std::map<std::string, Table>, std::uint64_t>> staleTables;
+  std::optional<Snapshot> staleTables;
   std::uint64_t historyStart = 0;
   std::vector<PendingWatch> watches;
 };
--- a/packages/proxy/tests/FleetHistoryTest.cpp
+++ b/packages/proxy/tests/FleetHistoryTest.cpp
@@ -13,6 +13,7 @@
 using mustardshift::test::Section;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
+using test::FakeStore;
 using test::FleetSimulation;
 
 /** Guards the rules that all VMs keep together, under kills, cuts, lost answers and late orders. */
@@ -23,6 +24,8 @@
   CPPUNIT_TEST(APrimaryThatFewCantReachStays);
   CPPUNIT_TEST(APrimaryThatRefusedOnceIsAskedAgain);
   CPPUNIT_TEST(AnotherVmTakesTheDutyOver);
+  CPPUNIT_TEST(TheDutyFindsAHolderAfterAnOutageOfTheStore);
+  CPPUNIT_TEST(StaleReadsTakeNothingBack);
   CPPUNIT_TEST(LateOrdersDontUndoNewerOnes);
   CPPUNIT_TEST(EvacuatedPrimariesAreReplaced);
   CPPUNIT_TEST(WithdrawnKeysStopOnVmsThatAreCutOff);
@@ -125,6 +128,67 @@
     });
   }
 
+  /** A holder that is replaced while the store is away would otherwise leave nobody to promote. */
+  void TheDutyFindsAHolderAfterAnOutageOfTheStore()
+  {
+    FleetSimulation fleet(5, 9);
+    for (auto& vm : fleet.vms) {
+      vm.store->isCut = true;
+    }
+    fleet.Advance(seconds(2));
+    fleet.Kill(0);
+    fleet.Advance(seconds(5));
+    for (auto& vm : fleet.vms) {
+      vm.store->isCut = false;
+    }
+    const Instant returnedAt = fleet.now;
+    while (fleet.vms[0].proxy->Fleet().Duty()->holder == VmId("vm-0") &&
+           fleet.now - returnedAt < seconds(20)) {
+      fleet.Advance(milliseconds(100));
+    }
+    CPPUNIT_ASSERT(fleet.now - returnedAt < seconds(4));
+  }
+
+  /** A VM that went back to an older division would use parts that others hold by now. */
+  void StaleReadsTakeNothingBack()
+  {
+    FleetSimulation fleet(4, 10);
+    RateAllocation second = fleet.vms[1].proxy->Fleet().Allocation();
+    ++second.version;
+    DutyRow duty = *fleet.vms[1].proxy->Fleet().Duty();
+    ++duty.fence;
+    const auto writeBoth = [&] {
+      fleet.store.Put(
+        "fleet", std::string(FleetView::kAllocationKey), EncodeRateAllocation(second));
+      fleet.store.Put("fleet", std::string(FleetView::kDutyKey), EncodeDutyRow(duty));
+    };
+    const FakeStore::Snapshot before = fleet.store.TakeSnapshot();
+    writeBoth();
+    fleet.Advance(seconds(2));
+    for (const auto& vm : fleet.vms) {
+      CPPUNIT_ASSERT(vm.proxy->Fleet().Allocation().version >= second.version);
+    }
+    Section("reads that are behind are left out", [&] {
+      fleet.store.ReadStale(before);
+      for (int step = 0; step < 30; ++step) {
+        fleet.Advance(milliseconds(100));
+        for (const auto& vm : fleet.vms) {
+          CPPUNIT_ASSERT(vm.proxy->Fleet().Allocation().version >= second.version);
+          CPPUNIT_ASSERT(vm.proxy->Fleet().Duty()->fence >= duty.fence);
+        }
+      }
+    });
+    Section("and the view goes on with the first one that is not", [&] {
+      fleet.store.ReadFresh();
+      ++second.version;
+      writeBoth();
+      fleet.Advance(seconds(2));
+      for (const auto& vm : fleet.vms) {
+        CPPUNIT_ASSERT(vm.proxy->Fleet().Allocation().version >= second.version);
+      }
+    });
+  }
+
   void LateOrdersDontUndoNewerOnes()
   {
     FleetSimulation fleet(4, 6);
