Judge by the store's clock which VMs have stopped

The holder of the promotion duty had been removed while the store was away. Its row showed a late write after the outage, so the others counted its lease from then; at 13 s all processes were killed, and the new ones counted it anew. Besides, the first fresh VM takes over, and the dead holder itself counted as fresh for 0.5 s longer than its lease. Change: a VM's row says by when, on the store's clock, it was sent. A read that shows a VM's own latest write proves how current it is; rows that are older than a lease by then belong to VMs that have stopped. The VM that takes over is the first one whose own row has not lapsed. The log says who holds the duty. Tests: FleetHistoryTest::ProcessesThatStartKnowWhoHasStopped, failing before and with the comparison of store times taken out; the store's contract now covers its clock.

--- a/packages/proxy/coordination/FleetCoordinator.h
+++ b/packages/proxy/coordination/FleetCoordinator.h
@@ -154,7 +154,7 @@
     }
     this->latestRead = aSentAt;
     this->latestVersion = std::max(this->latestVersion, aRows->version);
-    for (const std::string& key : this->fleet.Take(aNow, aSentAt, aRows->rows)) {
+    for (const std::string& key : this->fleet.Take(aNow, aSentAt, *aRows)) {
       this->log.Write(aNow, "fleet", "malformed-row", { { "key", key } });
     }
     const bool isFirst = !std::exchange(this->hasRead, true);
@@ -205,7 +205,9 @@
       return;
     }
     ++this->writes;
+    const auto sentFrom = this->fleet.EarliestStoreTime(aNow);
     const MemberRow row{ ++this->sequence,
+                         this->fleet.LatestStoreTime(aNow).value_or(std::chrono::milliseconds(0)),
                          this->peerAddress,
                          this->inForce.version,
                          this->buckets.Demand(aNow),
@@ -214,8 +216,11 @@
                                  FleetView::MemberKey(this->self),
                                  EncodeMemberRow(row),
                                  std::nullopt },
-                      [this, aNow](Instant aThen, auto aVersion) {
+                      [this, aNow, sentFrom](Instant aThen, auto aVersion) {
                         --this->writes;
+                        if (aVersion && sentFrom) {
+                          this->fleet.NoteRenewal(*aVersion, *sentFrom);
+                        }
                         this->OnRenewed(aThen, aNow, aVersion);
                       });
   }
--- a/packages/proxy/coordination/FleetView.cpp
+++ b/packages/proxy/coordination/FleetView.cpp
@@ -1,5 +1,6 @@
 #include "proxy/coordination/FleetView.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace mustardshift::proxy {
@@ -10,13 +11,11 @@
 
 } // namespace
 
-std::vector<std::string> FleetView::Take(Instant aNow,
-                                         Instant aSentAt,
-                                         const std::vector<StoredRow>& aRows)
+std::vector<std::string> FleetView::Take(Instant aNow, Instant aSentAt, const StoredRows& aRows)
 {
   std::vector<std::string> malformed;
   std::map<VmId, Member> present;
-  for (const StoredRow& row : aRows) {
+  for (const StoredRow& row : aRows.rows) {
     if (row.key == kAllocationKey) {
       auto decoded = DecodeRateAllocation(row.value);
       if (decoded) {
@@ -48,9 +47,41 @@
   }
   this->members = std::move(present);
   this->readSentAt = aSentAt;
+  this->readAnsweredAt = aNow;
+  this->storeTime = aRows.storeTime;
+  if (this->renewalVersion != 0 && aRows.version >= this->renewalVersion) {
+    this->readHoldsUntil = this->renewalSentFrom;
+  }
   return malformed;
 }
 
+std::optional<std::chrono::milliseconds> FleetView::EarliestStoreTime(Instant aNow) const
+{
+  if (!this->storeTime) {
+    return std::nullopt;
+  }
+  return *this->storeTime +
+         std::chrono::floor<std::chrono::milliseconds>(aNow - this->readAnsweredAt);
+}
+
+std::optional<std::chrono::milliseconds> FleetView::LatestStoreTime(Instant aNow) const
+{
+  if (!this->storeTime) {
+    return std::nullopt;
+  }
+  // The store's time is cut to whole milliseconds, and so is the difference.
+  return *this->storeTime + std::chrono::milliseconds(1) +
+         std::chrono::ceil<std::chrono::milliseconds>(aNow - this->readSentAt);
+}
+
+void FleetView::NoteRenewal(std::uint64_t aVersion, std::chrono::milliseconds aSentFrom)
+{
+  if (aVersion > this->renewalVersion) {
+    this->renewalVersion = aVersion;
+    this->renewalSentFrom = aSentFrom;
+  }
+}
+
 void FleetView::SetDuty(DutyRow aDuty, std::uint64_t aRowVersion)
 {
   if (aRowVersion > this->dutyRowVersion) {
@@ -62,13 +93,20 @@
 bool FleetView::IsUnchangedFor(const VmId& aVm, Duration aTime) const
 {
   const auto member = this->members.find(aVm);
-  return member == this->members.end() || this->readSentAt - member->second.seenSince >= aTime;
+  if (member == this->members.end() || this->readSentAt - member->second.seenSince >= aTime) {
+    return true;
+  }
+  const std::chrono::milliseconds sentBy = member->second.row.sentBy;
+  return this->readHoldsUntil && sentBy.count() > 0 && *this->readHoldsUntil - sentBy >= aTime;
 }
 
-bool FleetView::IsFresh(const VmId& aVm) const
+std::optional<VmId> FleetView::DutySuccessor() const
 {
-  const auto member = this->members.find(aVm);
-  return member != this->members.end() && this->readSentAt - member->second.seenSince < kFreshFor;
+  const auto running =
+    std::find_if(this->members.begin(), this->members.end(), [this](const auto& aEntry) {
+      return !this->HasDutyLapsed(aEntry.first);
+    });
+  return running == this->members.end() ? std::nullopt : std::optional(running->first);
 }
 
 std::vector<VmId> FleetView::FreshMembers() const
--- a/packages/proxy/coordination/FleetView.h
+++ b/packages/proxy/coordination/FleetView.h
@@ -8,6 +8,7 @@
 #include "proxy/rate/RateAllocation.h"
 #include "proxy/rate/RateMember.h"
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -19,8 +20,10 @@
 
 /** The fleet's own table as one VM has read it, and for how long each VM's row has not changed.
 
-    A row that a read shows unchanged says that its VM has not written since the row was first seen;
-    only time on this VM's own clock is compared.
+    Two things tell that a VM has not written its row for some time: reads have shown the same row
+    since then, by this VM's own clock; or the row was sent that long before the store was read, by
+    the store's clock. The second needs no history, so a process that has just started knows which
+    VMs have stopped.
 
     Thread safety: none; one thread owns the object. */
 class FleetView
@@ -56,7 +59,17 @@
 
   /** Takes a read of the whole table. Malformed rows are left out; their keys are returned.
       @param aSentAt  instant before the read was sent. */
-  std::vector<std::string> Take(Instant aNow, Instant aSentAt, const std::vector<StoredRow>& aRows);
+  std::vector<std::string> Take(Instant aNow, Instant aSentAt, const StoredRows& aRows);
+
+  /** Earliest and latest store time that an instant of this VM can be, by the latest read; nothing
+      when the store told no time. */
+  std::optional<std::chrono::milliseconds> EarliestStoreTime(Instant aNow) const;
+  std::optional<std::chrono::milliseconds> LatestStoreTime(Instant aNow) const;
+
+  /** Notes a write of this VM's row. Reads that show its version hold all that was written before
+      it.
+      @param aSentFrom  earliest store time at which the write was sent. */
+  void NoteRenewal(std::uint64_t aVersion, std::chrono::milliseconds aSentFrom);
 
   const std::map<VmId, Member>& Members() const { return this->members; }
   const RateAllocation& Allocation() const { return this->allocation; }
@@ -70,7 +83,10 @@
   /** Whether a VM no longer orders promotions. */
   bool HasDutyLapsed(const VmId& aVm) const { return this->IsUnchangedFor(aVm, kDutyLapseAfter); }
   /** Whether a VM's row has changed within kFreshFor. */
-  bool IsFresh(const VmId& aVm) const;
+  bool IsFresh(const VmId& aVm) const { return !this->IsUnchangedFor(aVm, kFreshFor); }
+  /** The VM that takes the promotion duty over when its holder has stopped; nothing when no VM is
+      known to run. */
+  std::optional<VmId> DutySuccessor() const;
   /** Fresh VMs in ascending order of their names. */
   std::vector<VmId> FreshMembers() const;
   /** What the division of rates needs to know of all VMs. */
@@ -81,8 +97,16 @@
   bool IsUnchangedFor(const VmId& aVm, Duration aTime) const;
 
   std::map<VmId, Member> members;
-  /** Instant before the latest read was sent. */
+  /** Instants before the latest read was sent and after it was answered, and the store's time in
+      between. */
   Instant readSentAt{};
+  Instant readAnsweredAt{};
+  std::optional<std::chrono::milliseconds> storeTime;
+  /** Latest write of this VM's row. */
+  std::uint64_t renewalVersion = 0;
+  std::chrono::milliseconds renewalSentFrom{ 0 };
+  /** The latest read shows all writes that were sent before this store time. */
+  std::optional<std::chrono::milliseconds> readHoldsUntil;
   RateAllocation allocation;
   std::uint64_t allocationRowVersion = 0;
   std::optional<DutyRow> duty;
--- a/packages/proxy/coordination/MemberRow.cpp
+++ b/packages/proxy/coordination/MemberRow.cpp
@@ -21,6 +21,7 @@
     unreachable.push_back(server.Text());
   }
   return ToCbor({ { "sequence", aRow.sequence },
+                  { "sent_by", aRow.sentBy.count() },
                   { "peer", aRow.peerAddress },
                   { "allocation", aRow.allocationVersion },
                   { "demand", std::move(demand) },
@@ -36,6 +37,7 @@
   try {
     MemberRow row;
     row.sequence = value->at("sequence").get<std::uint64_t>();
+    row.sentBy = std::chrono::milliseconds(value->value("sent_by", std::int64_t{ 0 }));
     row.peerAddress = value->at("peer").get<std::string>();
     row.allocationVersion = value->at("allocation").get<std::uint64_t>();
     for (const auto& [organisation, tenths] : value->at("demand").items()) {
--- a/packages/proxy/coordination/MemberRow.h
+++ b/packages/proxy/coordination/MemberRow.h
@@ -3,6 +3,7 @@
 #include "core/base/Names.h"
 #include "proxy/cluster/ServerRecord.h"
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -17,6 +18,9 @@
 {
   /** Counts the writes of one process, so that each changes the row. */
   std::uint64_t sequence = 0;
+  /** Latest time on the store's clock at which this write may have been sent; zero when the VM
+     didn't know the store's time. */
+  std::chrono::milliseconds sentBy{ 0 };
   /** Where other VMs send datagrams, "IP:port"; empty for nowhere. */
   std::string peerAddress;
   /** Version of the rate allocation that the VM has put in force. */
--- a/packages/proxy/coordination/StoredRow.h
+++ b/packages/proxy/coordination/StoredRow.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -22,6 +23,8 @@
 {
   std::vector<StoredRow> rows;
   std::uint64_t version = 0;
+  /** The store's own steady clock when it answered; nothing when it told no time. */
+  std::optional<std::chrono::milliseconds> storeTime;
 };
 
 /** A write of one row. */
--- a/packages/proxy/promotion/PromotionDriver.h
+++ b/packages/proxy/promotion/PromotionDriver.h
@@ -73,6 +73,7 @@
   void Step(Instant aNow, Instant aLeaseUntil)
   {
     this->leaseUntil = aLeaseUntil;
+    this->LogHolder(aNow);
     if (!this->IsHolder(aNow)) {
       // Claimed ahead of any need, so that a promotion waits for no election.
       if (aNow < aLeaseUntil && this->MayTakeOver()) {
@@ -118,13 +119,27 @@
     std::set<ServerId> rejected;
   };
 
+  void LogHolder(Instant aNow)
+  {
+    const auto& duty = this->fleet.Duty();
+    if (!duty || duty->holder == this->knownHolder) {
+      return;
+    }
+    this->knownHolder = duty->holder;
+    this->log.WriteAlways(
+      aNow,
+      "promotion",
+      "duty-held",
+      { { "holder", duty->holder.Text() }, { "fence", std::to_string(duty->fence) } });
+  }
+
   bool IsHolder(Instant aNow) const
   {
     return aNow < this->leaseUntil && this->fleet.Duty() &&
            this->fleet.Duty()->holder == this->self;
   }
 
-  /** The first fresh VM takes over from a holder that has stopped. */
+  /** The first VM that is known to run takes over from a holder that has stopped. */
   bool MayTakeOver() const
   {
     if (this->isClaiming) {
@@ -134,8 +149,7 @@
     if (duty && duty->holder != this->self && !this->fleet.HasDutyLapsed(duty->holder)) {
       return false;
     }
-    const std::vector<VmId> fresh = this->fleet.FreshMembers();
-    return !fresh.empty() && fresh.front() == this->self;
+    return this->fleet.DutySuccessor() == this->self;
   }
 
   /** Writes the duty row with the next fence, this VM as the holder, under the row's version. */
@@ -344,6 +358,8 @@
   EventLog& log;
   Instant leaseUntil{};
   std::map<DatabaseName, Matter> matters;
+  /** The holder that was logged last. */
+  std::optional<VmId> knownHolder;
   bool isClaiming = false;
 };
 
--- a/packages/proxy/tests/FakeStore.cpp
+++ b/packages/proxy/tests/FakeStore.cpp
@@ -32,6 +32,7 @@
   }
   StoredRows rows;
   rows.version = this->staleTables ? this->staleTables->second : this->version;
+  rows.storeTime = this->Time();
   for (const auto& [key, row] :
        (this->staleTables ? this->staleTables->first : this->tables)[aTable]) {
     if (!row.isRemoved) {
@@ -45,6 +46,7 @@
 {
   StoredRows changes;
   changes.version = this->version;
+  changes.storeTime = this->Time();
   const auto table = this->tables.find(aTable);
   if (table == this->tables.end()) {
     return changes;
--- a/packages/proxy/tests/FakeStore.h
+++ b/packages/proxy/tests/FakeStore.h
@@ -75,6 +75,12 @@
     RowsHandler handler;
   };
 
+  /** The store's own clock, which shares no origin with the VMs'. */
+  std::chrono::milliseconds Time() const
+  {
+    return std::chrono::floor<std::chrono::milliseconds>(this->now.time_since_epoch()) +
+           std::chrono::hours(7);
+  }
   StoreConduct ConductOf(const std::string& aCall);
   template<class Handler, class Value>
   void AnswerLater(Duration aTime, const Handler& aHandler, Value aValue);
--- a/packages/proxy/tests/FleetHistoryTest.cpp
+++ b/packages/proxy/tests/FleetHistoryTest.cpp
@@ -25,6 +25,7 @@
   CPPUNIT_TEST(APrimaryThatRefusedOnceIsAskedAgain);
   CPPUNIT_TEST(AnotherVmTakesTheDutyOver);
   CPPUNIT_TEST(TheDutyFindsAHolderAfterAnOutageOfTheStore);
+  CPPUNIT_TEST(ProcessesThatStartKnowWhoHasStopped);
   CPPUNIT_TEST(StaleReadsTakeNothingBack);
   CPPUNIT_TEST(LateOrdersDontUndoNewerOnes);
   CPPUNIT_TEST(EvacuatedPrimariesAreReplaced);
@@ -149,6 +150,39 @@
     CPPUNIT_ASSERT(fleet.now - returnedAt < seconds(4));
   }
 
+  /** Processes that start after the holder's death have no history to compare its row with, and
+     would wait for a whole lease before a primary is replaced. */
+  void ProcessesThatStartKnowWhoHasStopped()
+  {
+    FleetSimulation fleet(5, 11);
+    for (auto& vm : fleet.vms) {
+      vm.store->isCut = true;
+    }
+    fleet.Kill(0);
+    fleet.Advance(seconds(5));
+    for (std::size_t vm = 0; vm < fleet.vms.size(); ++vm) {
+      fleet.Restart(vm);
+    }
+    fleet.CrashServer("s1");
+    const Instant startedAt = fleet.now;
+    while (fleet.orders.accepted.empty() && fleet.now - startedAt < seconds(16)) {
+      fleet.Advance(milliseconds(100));
+    }
+    CPPUNIT_ASSERT(fleet.now - startedAt < seconds(4));
+    Section("but don't take over from a holder that runs", [&] {
+      FleetSimulation other(5, 12);
+      for (int round = 0; round < 10; ++round) {
+        for (std::size_t vm = 1; vm < other.vms.size(); ++vm) {
+          other.Restart(vm);
+        }
+        other.Advance(milliseconds(700));
+        for (const auto& vm : other.vms) {
+          CPPUNIT_ASSERT_EQUAL(std::string("vm-0"), vm.proxy->Fleet().Duty()->holder.Text());
+        }
+      }
+    });
+  }
+
   /** A VM that went back to an older division would use parts that others hold by now. */
   void StaleReadsTakeNothingBack()
   {
--- a/tests/contracts/TableStoreContract.h
+++ b/tests/contracts/TableStoreContract.h
@@ -75,6 +75,9 @@
     CPPUNIT_ASSERT_EQUAL(std::string("k1"), rows.rows[0].key);
     CPPUNIT_ASSERT(rows.rows[0].value == value);
     CPPUNIT_ASSERT(rows.rows[0].version <= rows.version);
+    // VMs judge by the store's clock which of them have stopped.
+    CPPUNIT_ASSERT(rows.storeTime.has_value());
+    CPPUNIT_ASSERT(*this->Read("things").storeTime >= *rows.storeTime);
   }
 
   void CheckConditionalWrites()
