Read the fleet's table sooner once a primary has to be replaced

The shorter period of reads counted only from the next periodic read on, up to 1.5 s later. Change: the next read is brought forward when the period becomes shorter.

--- a/packages/proxy/coordination/FleetCoordinator.h
+++ b/packages/proxy/coordination/FleetCoordinator.h
@@ -83,11 +83,16 @@
     if (this->hasRead) {
       this->Renew(aNow);
       this->Read(aNow);
+      this->HastenRead(aNow);
     }
   }
 
-  /** Sets whether the table is read more often. */
-  void SetUrgent(bool aIsUrgent) { this->isUrgent = aIsUrgent; }
+  /** Sets whether a primary has to be replaced; the table is then read more often. */
+  void SetUrgent(Instant aNow, bool aIsUrgent)
+  {
+    this->isUrgent = aIsUrgent;
+    this->HastenRead(aNow);
+  }
 
   /** Puts limits and shares in force after a change of the configuration. */
   void ApplyShares(Instant aNow)
@@ -119,12 +124,31 @@
                      });
   }
 
+  Duration ReadPeriod() const
+  {
+    return this->isUrgent || !this->unreachable.empty() ? kUrgentPeriod : kPeriod;
+  }
+
   void ReadAgain(Instant aNow)
   {
     this->Read(aNow);
-    this->scheduler.Schedule(
-      aNow + (this->isUrgent || !this->unreachable.empty() ? kUrgentPeriod : kPeriod),
-      [this](Instant aThen) { this->ReadAgain(aThen); });
+    this->ScheduleRead(aNow + this->ReadPeriod());
+  }
+
+  void ScheduleRead(Instant aWhen)
+  {
+    this->nextReadAt = aWhen;
+    this->nextRead =
+      this->scheduler.Schedule(aWhen, [this](Instant aThen) { this->ReadAgain(aThen); });
+  }
+
+  /** Brings the next read forward when the period has become shorter. */
+  void HastenRead(Instant aNow)
+  {
+    if (this->nextReadAt > aNow + this->ReadPeriod()) {
+      this->scheduler.Cancel(this->nextRead);
+      this->ScheduleRead(aNow + this->ReadPeriod());
+    }
   }
 
   /** @param aKnown  latest version that was known when the read was sent. */
@@ -299,6 +323,8 @@
   bool isUrgent = false;
   bool isPlanning = false;
   Instant planAgainAt{};
+  Instant nextReadAt{};
+  Scheduler::TaskId nextRead{};
   unsigned reads = 0;
   unsigned writes = 0;
   Instant latestRead{};
--- a/packages/proxy/tests/FleetHistoryTest.cpp
+++ b/packages/proxy/tests/FleetHistoryTest.cpp
@@ -21,6 +21,7 @@
 {
   CPPUNIT_TEST_SUITE(FleetHistoryTest);
   CPPUNIT_TEST(ADeadPrimaryIsReplacedOnce);
+  CPPUNIT_TEST(ADeadPrimaryIsReplacedSoonAtAnyPhaseOfTheReads);
   CPPUNIT_TEST(APrimaryThatFewCantReachStays);
   CPPUNIT_TEST(APrimaryThatRefusedOnceIsAskedAgain);
   CPPUNIT_TEST(AnotherVmTakesTheDutyOver);
@@ -62,6 +63,21 @@
     });
   }
 
+  /** The holder would otherwise learn what the others report with its next periodic read only. */
+  void ADeadPrimaryIsReplacedSoonAtAnyPhaseOfTheReads()
+  {
+    for (int phase = 0; phase < 15; ++phase) {
+      FleetSimulation fleet(6, 20 + static_cast<unsigned>(phase));
+      fleet.Advance(milliseconds(100 * phase));
+      fleet.CrashServer("s1");
+      const Instant crashedAt = fleet.now;
+      while (fleet.orders.accepted.empty() && fleet.now - crashedAt < seconds(16)) {
+        fleet.Advance(milliseconds(10));
+      }
+      CPPUNIT_ASSERT(fleet.now - crashedAt < seconds(2));
+    }
+  }
+
   void APrimaryThatFewCantReachStays()
   {
     FleetSimulation fleet(6, 3);
