Let groups that need a primary at once share one fence

Both groups raised the fence under the same row version; one write conflicted, and its group was ordered 0.63 s after the other. Change: a group that asks for a fence while one is being written shares it. The platform compares fences by group, and no group uses one twice. Test: FleetHistoryTest::GroupsThatLoseTheirPrimariesTogetherDontWaitForEachOther, failing before; the simulation has a second group for it.

--- a/packages/proxy/promotion/PromotionDriver.h
+++ b/packages/proxy/promotion/PromotionDriver.h
@@ -14,12 +14,14 @@
 #include "proxy/schedule/Scheduler.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
 #include <set>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace mustardshift::proxy {
 
@@ -152,10 +154,18 @@
     return this->fleet.DutySuccessor() == this->self;
   }
 
-  /** Writes the duty row with the next fence, this VM as the holder, under the row's version. */
-  template<class Handler>
-  void RaiseFence(Handler aHandler)
+  /** Gets the raised fence; nothing when it could not be written. */
+  using FenceHandler = std::function<void(Instant, std::optional<std::uint64_t>)>;
+
+  /** Writes the duty row with the next fence, this VM as the holder, under the row's version.
+     Groups that ask while a write is under way share its fence, since two writes would conflict:
+     fences are compared by group, and each group uses one for a single order. */
+  void RaiseFence(FenceHandler aHandler)
   {
+    this->fenceHandlers.push_back(std::move(aHandler));
+    if (this->fenceHandlers.size() > 1) {
+      return;
+    }
     const std::uint64_t fence = (this->fleet.Duty() ? this->fleet.Duty()->fence : 0) + 1;
     const DutyRow row{ this->self, fence };
     this->store.Write(
@@ -163,7 +173,7 @@
                  std::string(FleetView::kDutyKey),
                  EncodeDutyRow(row),
                  this->fleet.DutyRowVersion() },
-      [this, row, handler = std::move(aHandler)](Instant aNow, auto aVersion) {
+      [this, row](Instant aNow, auto aVersion) {
         if (aVersion) {
           this->fleet.SetDuty(row, *aVersion);
         }
@@ -175,7 +185,10 @@
             { "outcome",
               aVersion ? std::string("written")
                        : std::string(NameOf(kStoreFailureNames, aVersion.error())) } });
-        handler(aNow, aVersion.has_value());
+        const auto handlers = std::exchange(this->fenceHandlers, {});
+        for (const FenceHandler& handler : handlers) {
+          handler(aNow, aVersion ? std::optional(row.fence) : std::nullopt);
+        }
       });
   }
 
@@ -183,7 +196,7 @@
   {
     this->isClaiming = true;
     // A lost answer is settled by the next read of the fleet's table.
-    this->RaiseFence([this](Instant, bool) { this->isClaiming = false; });
+    this->RaiseFence([this](Instant, auto) { this->isClaiming = false; });
   }
 
   void Inspect(Instant aNow, const DatabaseName& aGroup, PromotionNeed aNeed)
@@ -306,18 +319,21 @@
       this->Pause(aNow, aGroup, kFailedPause);
       return;
     }
-    this->RaiseFence([this, aGroup, candidate = *candidate](Instant aThen, bool aIsWritten) {
-      if (!aIsWritten || !this->IsHolder(aThen)) {
+    this->RaiseFence([this, aGroup, candidate = *candidate](Instant aThen, auto aFence) {
+      if (!aFence || !this->IsHolder(aThen)) {
         this->Pause(aThen, aGroup, kFailedPause);
         return;
       }
-      this->Order(aThen, aGroup, candidate);
+      this->Order(aThen, aGroup, candidate, *aFence);
     });
   }
 
-  void Order(Instant aNow, const DatabaseName& aGroup, const ServerId& aCandidate)
+  void Order(Instant aNow,
+             const DatabaseName& aGroup,
+             const ServerId& aCandidate,
+             std::uint64_t aFence)
   {
-    const PromotionOrder order{ aGroup, aCandidate, this->self, this->fleet.Duty()->fence };
+    const PromotionOrder order{ aGroup, aCandidate, this->self, aFence };
     this->log.WriteAlways(aNow,
                           "promotion",
                           "ordered",
@@ -361,6 +377,8 @@
   /** The holder that was logged last. */
   std::optional<VmId> knownHolder;
   bool isClaiming = false;
+  /** Those who wait for the fence that is being written. */
+  std::vector<FenceHandler> fenceHandlers;
 };
 
 } // namespace mustardshift::proxy
--- a/packages/proxy/tests/FakeNetwork.cpp
+++ b/packages/proxy/tests/FakeNetwork.cpp
@@ -237,24 +237,30 @@
     });
 }
 
-FakeServer& FakeNetwork::Add(const std::string& aId, bool aIsPrimary)
+FakeServer& FakeNetwork::Add(const std::string& aId, bool aIsPrimary, const std::string& aGroup)
 {
   FakeServer& server = this->servers[ServerId(aId)];
   server.id = ServerId(aId);
+  server.group = aGroup;
   server.isPrimary = aIsPrimary;
   return server;
 }
 
 void FakeNetwork::Promote(const std::string& aId)
 {
+  FakeServer& promoted = this->Server(aId);
   std::uint64_t term = 0;
   for (auto& [id, server] : this->servers) {
-    server.isPrimary = false;
-    term = std::max(term, server.position.term);
+    if (server.group == promoted.group) {
+      server.isPrimary = false;
+      term = std::max(term, server.position.term);
+    }
   }
-  FakeServer& promoted = this->Server(aId);
   promoted.isPrimary = true;
   for (auto& [id, server] : this->servers) {
+    if (server.group != promoted.group) {
+      continue;
+    }
     server.termStart = promoted.position.offset;
     server.position = { term + 1, std::min(server.position.offset, promoted.position.offset) };
   }
--- a/packages/proxy/tests/FakeNetwork.h
+++ b/packages/proxy/tests/FakeNetwork.h
@@ -42,6 +42,8 @@
 struct FakeServer
 {
   ServerId id;
+  /** Servers of one group copy their primary's log. */
+  std::string group;
   bool isPrimary = false;
   LogPosition position{ 1, 0 };
   /** Offset at which the term of `position` began. */
@@ -123,10 +125,11 @@
   void Connect(const ConnectTarget& aTarget,
                std::function<void(Instant, ServerReply, std::unique_ptr<Link>)> aHandler);
 
-  FakeServer& Add(const std::string& aId, bool aIsPrimary);
+  FakeServer& Add(const std::string& aId, bool aIsPrimary, const std::string& aGroup = "fittings");
   FakeServer& Server(const std::string& aId) { return this->servers.at(ServerId(aId)); }
-  /** Makes a server the primary of the next term, with the log that it has. The others lose what is
-      ahead of it. */
+  const std::map<ServerId, FakeServer>& Servers() const { return this->servers; }
+  /** Makes a server the primary of its group's next term, with the log that it has. The others lose
+      what is ahead of it. */
   void Promote(const std::string& aId);
   /** Breaks all open connections of a server. */
   void BreakConnections(Instant aNow, const std::string& aId);
--- a/packages/proxy/tests/FleetHistoryTest.cpp
+++ b/packages/proxy/tests/FleetHistoryTest.cpp
@@ -22,6 +22,7 @@
   CPPUNIT_TEST_SUITE(FleetHistoryTest);
   CPPUNIT_TEST(ADeadPrimaryIsReplacedOnce);
   CPPUNIT_TEST(ADeadPrimaryIsReplacedSoonAtAnyPhaseOfTheReads);
+  CPPUNIT_TEST(GroupsThatLoseTheirPrimariesTogetherDontWaitForEachOther);
   CPPUNIT_TEST(APrimaryThatFewCantReachStays);
   CPPUNIT_TEST(APrimaryThatRefusedOnceIsAskedAgain);
   CPPUNIT_TEST(AnotherVmTakesTheDutyOver);
@@ -78,6 +79,31 @@
     }
   }
 
+  /** Two fences that are raised at once conflict, and the second group would start over. */
+  void GroupsThatLoseTheirPrimariesTogetherDontWaitForEachOther()
+  {
+    FleetSimulation fleet(5, 40);
+    fleet.CrashServer("s1");
+    fleet.CrashServer("n1");
+    fleet.Advance(milliseconds(2500));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), fleet.orders.accepted.size());
+    CPPUNIT_ASSERT(fleet.orders.accepted[0].group != fleet.orders.accepted[1].group);
+    Section("by one order each", [&] {
+      fleet.Advance(seconds(8));
+      CPPUNIT_ASSERT_EQUAL(std::size_t(2), fleet.orders.sent.size());
+    });
+    Section("in the same moment", [&] {
+      FleetSimulation other(5, 41);
+      other.store.Put("operators", "evacuate-domain-s1", "{}");
+      other.store.Put("operators", "evacuate-domain-n1", "{}");
+      while (other.orders.sent.empty()) {
+        other.Advance(milliseconds(10));
+      }
+      other.Advance(milliseconds(50));
+      CPPUNIT_ASSERT_EQUAL(std::size_t(2), other.orders.accepted.size());
+    });
+  }
+
   void APrimaryThatFewCantReachStays()
   {
     FleetSimulation fleet(6, 3);
--- a/packages/proxy/tests/FleetSimulation.cpp
+++ b/packages/proxy/tests/FleetSimulation.cpp
@@ -16,6 +16,7 @@
 namespace {
 
 const DatabaseName kGroup("fittings");
+const DatabaseName kOtherGroup("notes");
 
 template<class Handler, class Result>
 void FailLater(Scheduler& aScheduler, Instant aNow, Handler aHandler, Result aResult)
@@ -114,6 +115,7 @@
   SessionConfiguration configuration;
   words >> configuration.version;
   configuration.connectionLimits[kGroup] = 30;
+  configuration.connectionLimits[kOtherGroup] = 30;
   SessionRoute route;
   route.group = kGroup;
   route.statementTimeout = milliseconds(800);
@@ -135,10 +137,11 @@
   std::istringstream words(aRow.value);
   std::string role;
   std::string state;
-  words >> role >> state;
+  std::string group;
+  words >> role >> state >> group;
   ServerRecord record;
   record.id = ServerId(aRow.key);
-  record.group = kGroup;
+  record.group = DatabaseName(group);
   record.address = ServerAddress("10.0.0.1:5000");
   record.domain = FailureDomainName("domain-" + aRow.key);
   record.slots = 3;
@@ -154,6 +157,8 @@
   this->network.Add("s1", true);
   this->network.Add("s2", false);
   this->network.Add("s3", false);
+  this->network.Add("n1", true, kOtherGroup.Text());
+  this->network.Add("n2", false, kOtherGroup.Text());
   this->orders.onAccepted = [this](const PromotionOrder& aOrder) {
     this->scheduler.Schedule(this->now + milliseconds(600), [this, aOrder](Instant) {
       if (!this->crashed.contains(aOrder.candidate.Text())) {
@@ -224,10 +229,10 @@
 
 void FleetSimulation::WriteServers()
 {
-  for (const char* id : { "s1", "s2", "s3" }) {
-    if (!this->crashed.contains(id)) {
-      this->store.Put(
-        "servers", id, this->network.Server(id).isPrimary ? "primary ready" : "replica ready");
+  for (const auto& [id, server] : this->network.Servers()) {
+    if (!this->crashed.contains(id.Text())) {
+      const std::string role = server.isPrimary ? "primary" : "replica";
+      this->store.Put("servers", id.Text(), role + " ready " + server.group);
     }
   }
 }
--- a/packages/proxy/tests/FleetSimulation.h
+++ b/packages/proxy/tests/FleetSimulation.h
@@ -83,7 +83,7 @@
 };
 
 /** Reads the rows that a simulation writes; satisfies RecordDecoder. Configurations are
-    "VERSION KEY=ORGANISATION ...", servers "ROLE STATE". */
+    "VERSION KEY=ORGANISATION ...", servers "ROLE STATE GROUP". */
 struct FakeDecoder
 {
   static constexpr std::string_view kOperatorTable = "operators";
@@ -92,7 +92,8 @@
   static tl::expected<ServerRecord, std::string> DecodeServerRow(const StoredRow& aRow);
 };
 
-/** A fleet of whole session proxies over one store and one group of servers, in virtual time. */
+/** A fleet of whole session proxies over one store, in virtual time. The group "fittings" has the
+    servers s1 (primary), s2 and s3, which the routes use; "notes" has n1 (primary) and n2. */
 class FleetSimulation
 {
 public:
