Miss the holder of the promotion duty after 2.2 s

The primary was reported at 34.3 s and ordered at 38.6 s, since the holder's row counted as renewed for 4 s; the next VM in turn, which had been cut off as well, would have delayed it further. Change: the holder renews its row every 0.5 s instead of 1.5 s, keeps the duty for 1.8 s after a renewal and is missed after 2.2 s. VMs take over in turn, 0.3 s apart, so that one that has stopped too holds nobody up. Fences still order the holders, so a holder that is missed too early costs a row and nothing else. Test: sections of FleetHistoryTest::AnotherVmTakesTheDutyOver; the first fails before, the second guards against taking over from a holder that misses a renewal.

--- a/packages/proxy/coordination/FleetCoordinator.h
+++ b/packages/proxy/coordination/FleetCoordinator.h
@@ -31,6 +31,8 @@
 public:
   /** Period of reads and of renewals of this VM's row. */
   static constexpr Duration kPeriod = std::chrono::milliseconds(1500);
+  /** Period of renewals by the holder of the promotion duty, so that it is missed soon. */
+  static constexpr Duration kHolderPeriod = std::chrono::milliseconds(500);
   /** Period of reads while a primary has to be replaced. */
   static constexpr Duration kUrgentPeriod = std::chrono::milliseconds(300);
   /** Least time between two divisions of the rates. A move costs tokens at the VM that gives parts
@@ -217,8 +219,12 @@
 
   void RenewAgain(Instant aNow)
   {
-    this->scheduler.Schedule(aNow + kPeriod, [this](Instant aThen) {
-      this->Renew(aThen);
+    this->scheduler.Schedule(aNow + kHolderPeriod, [this](Instant aThen) {
+      const auto& duty = this->fleet.Duty();
+      const bool isHolder = duty && duty->holder == this->self;
+      if (isHolder || aThen - this->renewedAt >= kPeriod) {
+        this->Renew(aThen);
+      }
       this->RenewAgain(aThen);
     });
   }
@@ -229,6 +235,7 @@
       return;
     }
     ++this->writes;
+    this->renewedAt = aNow;
     const auto sentFrom = this->fleet.EarliestStoreTime(aNow);
     const MemberRow row{ ++this->sequence,
                          this->fleet.LatestStoreTime(aNow).value_or(std::chrono::milliseconds(0)),
@@ -331,6 +338,8 @@
   /** Latest version that the store has shown: of a read, or of this VM's row. */
   std::uint64_t latestVersion = 0;
   std::uint64_t sequence = 0;
+  /** Instant of the latest renewal, answered or not. */
+  Instant renewedAt{};
   /** The allocation that the buckets follow. */
   RateAllocation inForce;
   std::set<ServerId> unreachable;
--- a/packages/proxy/coordination/FleetView.cpp
+++ b/packages/proxy/coordination/FleetView.cpp
@@ -100,13 +100,19 @@
   return this->readHoldsUntil && sentBy.count() > 0 && *this->readHoldsUntil - sentBy >= aTime;
 }
 
-std::optional<VmId> FleetView::DutySuccessor() const
+bool FleetView::MayTakeDuty(const VmId& aVm) const
 {
-  const auto running =
-    std::find_if(this->members.begin(), this->members.end(), [this](const auto& aEntry) {
-      return !this->HasDutyLapsed(aEntry.first);
-    });
-  return running == this->members.end() ? std::nullopt : std::optional(running->first);
+  std::vector<VmId> successors = this->FreshMembers();
+  if (this->duty) {
+    std::erase(successors, this->duty->holder);
+  }
+  const auto place = std::find(successors.begin(), successors.end(), aVm);
+  if (place == successors.end()) {
+    return false;
+  }
+  const Duration turn = kSuccessionStep * (place - successors.begin());
+  return this->duty ? this->IsUnchangedFor(this->duty->holder, kDutyLapseAfter + turn)
+                    : turn == Duration(0);
 }
 
 std::vector<VmId> FleetView::FreshMembers() const
--- a/packages/proxy/coordination/FleetView.h
+++ b/packages/proxy/coordination/FleetView.h
@@ -36,10 +36,13 @@
       clocks that don't run alike. */
   static constexpr Duration kLapseAfter = std::chrono::milliseconds(6500);
   /** The holder of the promotion duty orders for this long after it sent the latest write of its
-     row that was acknowledged; two renewals. Another VM takes over when the row has not changed for
-      kDutyLapseAfter. */
-  static constexpr Duration kDutyLease = std::chrono::milliseconds(3200);
-  static constexpr Duration kDutyLapseAfter = std::chrono::milliseconds(4000);
+      row that was acknowledged: three of its renewals. Another VM takes over when the row has not
+      changed for kDutyLapseAfter: the lease, and a reserve for clocks that don't run alike. */
+  static constexpr Duration kDutyLease = std::chrono::milliseconds(1800);
+  static constexpr Duration kDutyLapseAfter = std::chrono::milliseconds(2200);
+  /** VMs that may take the duty over do so in the order of their names, each this much later than
+     the one before, which may have stopped too: about the period of reads at such a time. */
+  static constexpr Duration kSuccessionStep = std::chrono::milliseconds(300);
   /** The opinion of a VM counts while its row is younger than this: three renewals. */
   static constexpr Duration kFreshFor = std::chrono::milliseconds(4500);
 
@@ -80,13 +83,11 @@
   void SetDuty(DutyRow aDuty, std::uint64_t aRowVersion);
 
   bool HasLapsed(const VmId& aVm) const { return this->IsUnchangedFor(aVm, kLapseAfter); }
-  /** Whether a VM no longer orders promotions. */
-  bool HasDutyLapsed(const VmId& aVm) const { return this->IsUnchangedFor(aVm, kDutyLapseAfter); }
   /** Whether a VM's row has changed within kFreshFor. */
   bool IsFresh(const VmId& aVm) const { return !this->IsUnchangedFor(aVm, kFreshFor); }
-  /** The VM that takes the promotion duty over when its holder has stopped; nothing when no VM is
-      known to run. */
-  std::optional<VmId> DutySuccessor() const;
+  /** Whether the promotion duty has no holder that may still order, and it is a VM's turn to take
+     it over. */
+  bool MayTakeDuty(const VmId& aVm) const;
   /** Fresh VMs in ascending order of their names. */
   std::vector<VmId> FreshMembers() const;
   /** What the division of rates needs to know of all VMs. */
--- a/packages/proxy/promotion/PromotionDriver.h
+++ b/packages/proxy/promotion/PromotionDriver.h
@@ -141,18 +141,7 @@
            this->fleet.Duty()->holder == this->self;
   }
 
-  /** The first VM that is known to run takes over from a holder that has stopped. */
-  bool MayTakeOver() const
-  {
-    if (this->isClaiming) {
-      return false;
-    }
-    const auto& duty = this->fleet.Duty();
-    if (duty && duty->holder != this->self && !this->fleet.HasDutyLapsed(duty->holder)) {
-      return false;
-    }
-    return this->fleet.DutySuccessor() == this->self;
-  }
+  bool MayTakeOver() const { return !this->isClaiming && this->fleet.MayTakeDuty(this->self); }
 
   /** Gets the raised fence; nothing when it could not be written. */
   using FenceHandler = std::function<void(Instant, std::optional<std::uint64_t>)>;
--- a/packages/proxy/tests/FleetHistoryTest.cpp
+++ b/packages/proxy/tests/FleetHistoryTest.cpp
@@ -156,6 +156,27 @@
     fleet.Advance(seconds(9));
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), fleet.orders.accepted.size());
     CPPUNIT_ASSERT(fleet.orders.accepted[0].holder != VmId("vm-0"));
+    Section("soon, also when the next one in turn has died with the holder", [&] {
+      for (int phase = 0; phase < 8; ++phase) {
+        FleetSimulation other(6, 50 + static_cast<unsigned>(phase));
+        other.Advance(milliseconds(200 * phase));
+        other.Kill(1);
+        other.Kill(0);
+        other.CrashServer("s1");
+        other.Advance(milliseconds(3500));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), other.orders.accepted.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("vm-2"), other.orders.accepted[0].holder.Text());
+      }
+    });
+    Section("but not while the holder only misses a renewal or two", [&] {
+      FleetSimulation other(5, 14);
+      for (int round = 0; round < 20; ++round) {
+        other.vms[0].store->losesAnswers = round % 2 == 0;
+        other.Advance(milliseconds(700));
+        CPPUNIT_ASSERT_EQUAL(std::string("vm-0"),
+                             other.vms[1].proxy->Fleet().Duty()->holder.Text());
+      }
+    });
     Section("a holder that is cut off from the store gives it up too", [&] {
       FleetSimulation cut(5, 5);
       cut.vms[0].store->isCut = true;
