Hold the parts of a rate on few VMs of a large fleet

The division of the rates had an entry for each VM and organisation, and the store refused the row as longer than 64 KiB. It could not have worked either: a rate of 14/s divided by 89 is less than a token a VM. Change: up to 16 VMs all hold parts as before. In larger fleets two VMs of each failure domain do, chosen by rendezvous hashing, and the others fetch tokens from them, those of their own failure domain first. What they ask for counts as demand of the holder. Tokens are asked for ahead only as far as they will be used. A division is made at once whenever the fresh VMs have changed. Tests: RateAllocationTest::FewVmsOfALargeFleetHoldParts (row size, failure domains, growth, a holder that stops), TokenExchangeTest::VmsWithoutPartsFetchTheirTokens.

--- a/packages/proxy/ProxySettings.h
+++ b/packages/proxy/ProxySettings.h
@@ -14,6 +14,7 @@
 struct ProxySettings
 {
   VmId vm;
+  FailureDomainName domain;
   /** Where other VMs send datagrams, "IP:port"; empty for nowhere. */
   std::string peerAddress;
   /** Tells this process from earlier ones of the VM. */
--- a/packages/proxy/SessionProxy.h
+++ b/packages/proxy/SessionProxy.h
@@ -86,6 +86,7 @@
              aLog)
     , gate(this->buckets, aScheduler)
     , exchange(this->settings.vm,
+               this->settings.domain,
                this->settings.incarnation,
                aMessenger,
                this->fleet,
@@ -93,6 +94,7 @@
                this->gate,
                aScheduler)
     , coordinator(this->settings.vm,
+                  this->settings.domain,
                   this->settings.peerAddress,
                   aStore,
                   this->cluster,
--- a/packages/proxy/coordination/FleetCoordinator.h
+++ b/packages/proxy/coordination/FleetCoordinator.h
@@ -6,6 +6,7 @@
 #include "proxy/coordination/FleetView.h"
 #include "proxy/coordination/TableStore.h"
 #include "proxy/log/EventLog.h"
+#include "proxy/rate/ChooseRateHolders.h"
 #include "proxy/rate/OrganisationBuckets.h"
 #include "proxy/rate/PlanRateAllocation.h"
 #include "proxy/schedule/Scheduler.h"
@@ -45,6 +46,7 @@
       @param aOnRead       called after each read of the table.
       All references have to outlive the coordinator. */
   FleetCoordinator(VmId aSelf,
+                   FailureDomainName aDomain,
                    std::string aPeerAddress,
                    Store& aStore,
                    ClusterState& aCluster,
@@ -54,6 +56,7 @@
                    EventLog& aLog,
                    std::function<void(Instant)> aOnRead)
     : self(std::move(aSelf))
+    , domain(std::move(aDomain))
     , peerAddress(std::move(aPeerAddress))
     , store(aStore)
     , cluster(aCluster)
@@ -217,6 +220,19 @@
     });
   }
 
+  /** Demand that the division of rates uses. Where few VMs hold parts, the others' demand reaches
+      them as requests for tokens, and would only lengthen the rows. */
+  std::map<OrganisationName, double> ReportedDemand(Instant aNow) const
+  {
+    std::map<OrganisationName, double> demand = this->buckets.Demand(aNow);
+    if (this->fleet.Members().size() > kMostVmsThatAllHold) {
+      std::erase_if(demand, [this](const auto& aEntry) {
+        return this->inForce.PartsOf(aEntry.first, this->self) == 0;
+      });
+    }
+    return demand;
+  }
+
   void RenewAgain(Instant aNow)
   {
     this->scheduler.Schedule(aNow + kHolderPeriod, [this](Instant aThen) {
@@ -239,9 +255,10 @@
     const auto sentFrom = this->fleet.EarliestStoreTime(aNow);
     const MemberRow row{ ++this->sequence,
                          this->fleet.LatestStoreTime(aNow).value_or(std::chrono::milliseconds(0)),
+                         this->domain,
                          this->peerAddress,
                          this->inForce.version,
-                         this->buckets.Demand(aNow),
+                         this->ReportedDemand(aNow),
                          this->unreachable };
     this->store.Write(RowChange{ std::string(FleetView::kTable),
                                  FleetView::MemberKey(this->self),
@@ -283,19 +300,11 @@
     this->buckets.SetLease(this->leaseUntil);
   }
 
-  /** A VM that has joined waits for no period. */
-  bool HasMemberWithoutShare(const std::vector<VmId>& aFresh) const
-  {
-    const auto& shares = this->fleet.Allocation().shares;
-    return !shares.empty() && std::any_of(aFresh.begin(), aFresh.end(), [&](const VmId& aVm) {
-      return this->fleet.Allocation().PartsOf(shares.begin()->first, aVm) == 0;
-    });
-  }
-
   void PlanRates(Instant aNow)
   {
     const std::vector<VmId> fresh = this->fleet.FreshMembers();
-    const bool isTooSoon = aNow < this->planAgainAt && !this->HasMemberWithoutShare(fresh);
+    // A VM that has joined waits for no period.
+    const bool isTooSoon = aNow < this->planAgainAt && fresh == this->plannedFor;
     if (this->isPlanning || isTooSoon || !this->cluster.HasConfiguration() || fresh.empty() ||
         fresh.front() != this->self) {
       return;
@@ -306,6 +315,7 @@
       return;
     }
     this->isPlanning = true;
+    this->plannedFor = fresh;
     this->planAgainAt = aNow + kPlanPeriod;
     this->log.WriteAlways(
       aNow, "rate", "allocation-written", { { "version", std::to_string(next->version) } });
@@ -318,6 +328,7 @@
   }
 
   VmId self;
+  FailureDomainName domain;
   std::string peerAddress;
   Store& store;
   ClusterState& cluster;
@@ -330,6 +341,8 @@
   bool isUrgent = false;
   bool isPlanning = false;
   Instant planAgainAt{};
+  /** Fresh VMs at the latest division by this VM. */
+  std::vector<VmId> plannedFor;
   Instant nextReadAt{};
   Scheduler::TaskId nextRead{};
   unsigned reads = 0;
--- a/packages/proxy/coordination/FleetView.cpp
+++ b/packages/proxy/coordination/FleetView.cpp
@@ -130,7 +130,11 @@
 {
   std::vector<RateMember> result;
   for (const auto& [vm, member] : this->members) {
-    result.push_back({ vm, member.row.allocationVersion, member.row.demand, this->HasLapsed(vm) });
+    result.push_back({ vm,
+                       member.row.domain,
+                       member.row.allocationVersion,
+                       member.row.demand,
+                       this->HasLapsed(vm) });
   }
   return result;
 }
--- a/packages/proxy/coordination/MemberRow.cpp
+++ b/packages/proxy/coordination/MemberRow.cpp
@@ -22,6 +22,7 @@
   }
   return ToCbor({ { "sequence", aRow.sequence },
                   { "sent_by", aRow.sentBy.count() },
+                  { "domain", aRow.domain.Text() },
                   { "peer", aRow.peerAddress },
                   { "allocation", aRow.allocationVersion },
                   { "demand", std::move(demand) },
@@ -38,6 +39,7 @@
     MemberRow row;
     row.sequence = value->at("sequence").get<std::uint64_t>();
     row.sentBy = std::chrono::milliseconds(value->value("sent_by", std::int64_t{ 0 }));
+    row.domain = FailureDomainName(value->value("domain", std::string()));
     row.peerAddress = value->at("peer").get<std::string>();
     row.allocationVersion = value->at("allocation").get<std::uint64_t>();
     for (const auto& [organisation, tenths] : value->at("demand").items()) {
--- a/packages/proxy/coordination/MemberRow.h
+++ b/packages/proxy/coordination/MemberRow.h
@@ -21,6 +21,7 @@
   /** Latest time on the store's clock at which this write may have been sent; zero when the VM
      didn't know the store's time. */
   std::chrono::milliseconds sentBy{ 0 };
+  FailureDomainName domain;
   /** Where other VMs send datagrams, "IP:port"; empty for nowhere. */
   std::string peerAddress;
   /** Version of the rate allocation that the VM has put in force. */
--- a/packages/proxy/rate/OrganisationBuckets.cpp
+++ b/packages/proxy/rate/OrganisationBuckets.cpp
@@ -35,6 +35,16 @@
   }
 }
 
+void OrganisationBuckets::CountLending(Instant aNow,
+                                       const OrganisationName& aOrganisation,
+                                       std::uint32_t aCount)
+{
+  const auto entry = this->entries.find(aOrganisation);
+  if (entry != this->entries.end()) {
+    entry->second.lending.Ask(aNow, aCount);
+  }
+}
+
 bool OrganisationBuckets::TryTake(Instant aNow, const OrganisationName& aOrganisation)
 {
   const auto found = this->entries.find(aOrganisation);
@@ -127,6 +137,12 @@
   return text.data();
 }
 
+double OrganisationBuckets::OwnDemand(Instant aNow, const OrganisationName& aOrganisation) const
+{
+  const auto entry = this->entries.find(aOrganisation);
+  return entry == this->entries.end() ? 0 : entry->second.demand.SteadyRate(aNow);
+}
+
 double OrganisationBuckets::RateOfParts(const OrganisationName& aOrganisation, double aParts) const
 {
   const auto entry = this->entries.find(aOrganisation);
@@ -137,7 +153,7 @@
 {
   std::map<OrganisationName, double> demand;
   for (const auto& [organisation, entry] : this->entries) {
-    demand[organisation] = entry.demand.SteadyRate(aNow);
+    demand[organisation] = entry.demand.SteadyRate(aNow) + entry.lending.SteadyRate(aNow);
   }
   return demand;
 }
--- a/packages/proxy/rate/OrganisationBuckets.h
+++ b/packages/proxy/rate/OrganisationBuckets.h
@@ -23,6 +23,9 @@
 class OrganisationBuckets
 {
 public:
+  /** Received tokens that are not used soon are dropped, so that they don't add up. */
+  static constexpr Duration kReceivedLife = std::chrono::milliseconds(500);
+
   explicit OrganisationBuckets(VmId aSelf, RateTolerance aTolerance = {})
     : self(std::move(aSelf))
     , tolerance(aTolerance)
@@ -40,6 +43,9 @@
   /** Counts a new operation as demand. */
   void CountDemand(Instant aNow, const OrganisationName& aOrganisation);
 
+  /** Counts tokens that a VM without parts of its own has asked for. */
+  void CountLending(Instant aNow, const OrganisationName& aOrganisation, std::uint32_t aCount);
+
   /** Takes a token; returns false when there is none. */
   bool TryTake(Instant aNow, const OrganisationName& aOrganisation);
 
@@ -71,16 +77,17 @@
   /** The figures that decide about an operation, for the log. */
   std::string Describe(Instant aNow, const OrganisationName& aOrganisation) const;
 
+  /** Operations per second that clients of this VM lately asked for. */
+  double OwnDemand(Instant aNow, const OrganisationName& aOrganisation) const;
+
   /** Operations per second that a number of parts allow. */
   double RateOfParts(const OrganisationName& aOrganisation, double aParts) const;
 
-  /** Operations per second that were lately asked for, by organisation. */
+  /** Operations per second that were lately asked for, by this VM's clients and by VMs without
+     parts of their own. */
   std::map<OrganisationName, double> Demand(Instant aNow) const;
 
 private:
-  /** Received tokens that are not used soon are dropped, so that they don't add up. */
-  static constexpr Duration kReceivedLife = std::chrono::milliseconds(500);
-
   struct Entry
   {
     OrganisationLimit limit;
@@ -88,6 +95,7 @@
     Instant receivedUntil{};
     TokenBucket bucket;
     DemandEstimate demand;
+    DemandEstimate lending;
   };
 
   VmId self;
--- a/packages/proxy/rate/PlanRateAllocation.cpp
+++ b/packages/proxy/rate/PlanRateAllocation.cpp
@@ -1,6 +1,10 @@
 #include "proxy/rate/PlanRateAllocation.h"
 
+#include "proxy/rate/ChooseRateHolders.h"
+
 #include <algorithm>
+#include <iterator>
+#include <set>
 
 namespace mustardshift::proxy {
 
@@ -81,6 +85,33 @@
   return hasChanged;
 }
 
+/** Takes all parts from VMs that are no longer chosen, and drops those that have given them up. */
+bool RetireOthers(Shares& aShares, const std::set<VmId>& aHolders, std::uint64_t aVersion)
+{
+  bool hasChanged = std::erase_if(aShares, [&](const auto& aEntry) {
+                      return aEntry.second.ceiling == 0 && !aHolders.contains(aEntry.first);
+                    }) > 0;
+  for (auto& [vm, share] : aShares) {
+    if (share.parts > 0 && !aHolders.contains(vm)) {
+      share.parts = 0;
+      share.changedIn = aVersion;
+      hasChanged = true;
+    }
+  }
+  return hasChanged;
+}
+
+std::vector<const RateMember*> Among(const std::vector<const RateMember*>& aMembers,
+                                     const std::set<VmId>& aVms)
+{
+  std::vector<const RateMember*> found;
+  std::copy_if(aMembers.begin(),
+               aMembers.end(),
+               std::back_inserter(found),
+               [&](const auto* aMember) { return aVms.contains(aMember->vm); });
+  return found;
+}
+
 /** What a division has to move. */
 struct Balance
 {
@@ -191,11 +222,15 @@
                     }) > 0;
   for (const auto& [organisation, limit] : aLimits) {
     Shares& shares = next.shares[organisation];
+    const std::set<VmId> chosen = ChooseRateHolders(organisation, live);
+    const std::vector<const RateMember*> holders = Among(live, chosen);
     const bool hasSettled = SettleCeilings(shares, members);
-    hasChanged |= hasSettled;
-    if (hasSettled || NeedsDivision(organisation, shares, live, limit.ratePerSecond)) {
+    const bool hasRetired = RetireOthers(shares, chosen, next.version);
+    hasChanged |= hasSettled || hasRetired;
+    if (hasSettled || hasRetired ||
+        NeedsDivision(organisation, shares, holders, limit.ratePerSecond)) {
       hasChanged |=
-        Divide(shares, IdealParts(organisation, live, limit.ratePerSecond), next.version);
+        Divide(shares, IdealParts(organisation, holders, limit.ratePerSecond), next.version);
     }
   }
   if (!hasChanged) {
--- a/packages/proxy/rate/RateMember.h
+++ b/packages/proxy/rate/RateMember.h
@@ -11,6 +11,7 @@
 struct RateMember
 {
   VmId vm;
+  FailureDomainName domain;
   /** Version of the latest allocation that the VM has put in force. */
   std::uint64_t confirmedVersion = 0;
   /** Operations per second that clients lately asked of the VM. */
--- a/packages/proxy/rate/TokenExchange.h
+++ b/packages/proxy/rate/TokenExchange.h
@@ -10,6 +10,7 @@
 #include "proxy/schedule/Scheduler.h"
 
 #include <algorithm>
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -36,14 +37,16 @@
   /** VMs that are asked in turn, and the pause when none of them had tokens. */
   static constexpr std::size_t kMostLenders = 3;
   static constexpr Duration kPause = std::chrono::milliseconds(150);
-  /** More than the operations that wait are asked for, so that the next ones find some. */
-  static constexpr std::uint32_t kAhead = 2;
+  /** Most tokens that are asked for besides those of the operations that wait, so that the next
+     ones find some; no more than are used while they can be. */
+  static constexpr std::uint32_t kMostAhead = 2;
   /** Time for which a lender keeps tokens for its own clients. */
   static constexpr double kReserveSeconds = 0.3;
 
   /** @param aIncarnation  tells this process from earlier ones of the VM.
       All references have to outlive the exchange. */
   TokenExchange(VmId aSelf,
+                FailureDomainName aDomain,
                 std::uint64_t aIncarnation,
                 Messenger& aMessenger,
                 const FleetView& aFleet,
@@ -51,6 +54,7 @@
                 TokenGate& aGate,
                 Scheduler& aScheduler)
     : self(std::move(aSelf))
+    , domain(std::move(aDomain))
     , incarnation(aIncarnation)
     , messenger(aMessenger)
     , fleet(aFleet)
@@ -107,9 +111,12 @@
     return this->AskNext(aNow, aOrganisation);
   }
 
-  /** VMs with unused parts, beginning with another one each time, so that all are drawn on. */
+  /** VMs with unused parts, beginning with another one each time, so that all are drawn on. A VM
+      without parts asks all that have some, those of its failure domain first. */
   std::vector<VmId> ChooseLenders(const OrganisationName& aOrganisation)
   {
+    const RateAllocation& allocation = this->fleet.Allocation();
+    const bool hasParts = allocation.PartsOf(aOrganisation, this->self) > 0;
     std::vector<VmId> lenders;
     for (const VmId& vm : this->fleet.FreshMembers()) {
       const MemberRow& row = this->fleet.Members().at(vm).row;
@@ -117,15 +124,21 @@
         continue;
       }
       const auto demand = row.demand.find(aOrganisation);
-      const double parts = this->fleet.Allocation().PartsOf(aOrganisation, vm);
-      if (this->buckets.RateOfParts(aOrganisation, parts) >
-          (demand == row.demand.end() ? 0.0 : demand->second)) {
+      const std::uint32_t parts = allocation.PartsOf(aOrganisation, vm);
+      const bool isSpare = this->buckets.RateOfParts(aOrganisation, parts) >
+                           (demand == row.demand.end() ? 0.0 : demand->second);
+      if (hasParts ? isSpare : parts > 0) {
         lenders.push_back(vm);
       }
     }
     if (!lenders.empty()) {
       const auto first = static_cast<std::ptrdiff_t>(this->nextLender++ % lenders.size());
       std::rotate(lenders.begin(), lenders.begin() + first, lenders.end());
+      if (!hasParts) {
+        std::stable_partition(lenders.begin(), lenders.end(), [this](const VmId& aVm) {
+          return this->fleet.Members().at(aVm).row.domain == this->domain;
+        });
+      }
       lenders.resize(std::min(lenders.size(), kMostLenders));
     }
     return lenders;
@@ -152,7 +165,8 @@
                                 this->incarnation,
                                 number,
                                 aOrganisation,
-                                static_cast<std::uint32_t>(search.wanted) + kAhead };
+                                static_cast<std::uint32_t>(search.wanted) +
+                                  this->Ahead(aNow, aOrganisation) };
     this->messenger.Send(member->second.row.peerAddress, EncodeTokenMessage(request));
     this->scheduler.Schedule(aNow + kAnswerTime, [this, aOrganisation, number](Instant aThen) {
       if (this->searches[aOrganisation].number == number) {
@@ -162,12 +176,22 @@
     return true;
   }
 
+  std::uint32_t Ahead(Instant aNow, const OrganisationName& aOrganisation) const
+  {
+    const double soon = this->buckets.OwnDemand(aNow, aOrganisation) *
+                        std::chrono::duration<double>(OrganisationBuckets::kReceivedLife).count();
+    return std::min(kMostAhead, static_cast<std::uint32_t>(soon));
+  }
+
   void OnRequest(Instant aNow, const TokenRequest& aRequest)
   {
     const auto member = this->fleet.Members().find(aRequest.sender);
     if (member == this->fleet.Members().end() || member->second.row.peerAddress.empty()) {
       return;
     }
+    if (this->fleet.Allocation().PartsOf(aRequest.organisation, aRequest.sender) == 0) {
+      this->buckets.CountLending(aNow, aRequest.organisation, aRequest.wanted);
+    }
     const std::uint32_t given =
       this->buckets.Give(aNow, aRequest.organisation, aRequest.wanted, kReserveSeconds);
     const TokenGrant grant{ this->self, aRequest.incarnation, aRequest.number, given };
@@ -198,6 +222,7 @@
   }
 
   VmId self;
+  FailureDomainName domain;
   std::uint64_t incarnation;
   Messenger& messenger;
   const FleetView& fleet;
--- a/packages/proxy/tests/RateAllocationTest.cpp
+++ b/packages/proxy/tests/RateAllocationTest.cpp
@@ -68,6 +68,7 @@
   CPPUNIT_TEST(LapsedVmsGiveUpTheirParts);
   CPPUNIT_TEST(SharesFollowDemand);
   CPPUNIT_TEST(LittleDemandMovesLittle);
+  CPPUNIT_TEST(FewVmsOfALargeFleetHoldParts);
   CPPUNIT_TEST(ALeaseThatHasEndedStopsTheBuckets);
   CPPUNIT_TEST(WindowsKeepTheToleranceInSeededHistories);
   CPPUNIT_TEST(EncodedAllocationsAreReadBack);
@@ -91,8 +92,8 @@
 
   void PartsMoveOnlyAfterTheirHolderConfirms()
   {
-    std::vector<RateMember> members{ { VmId("a"), 0, { { kBlue, 10 } }, false },
-                                     { VmId("b"), 0, { { kBlue, 10 } }, false } };
+    std::vector<RateMember> members{ { VmId("a"), {}, 0, { { kBlue, 10 } }, false },
+                                     { VmId("b"), {}, 0, { { kBlue, 10 } }, false } };
     RateAllocation allocation = *PlanRateAllocation({}, members, Limits(100));
     CPPUNIT_ASSERT(allocation.PartsOf(kBlue, VmId("a")) >= 4900);
     members[0].demand[kBlue] = 0;
@@ -119,7 +120,8 @@
 
   void LapsedVmsGiveUpTheirParts()
   {
-    std::vector<RateMember> members{ { VmId("a"), 0, {}, false }, { VmId("b"), 0, {}, false } };
+    std::vector<RateMember> members{ { VmId("a"), {}, 0, {}, false },
+                                     { VmId("b"), {}, 0, {}, false } };
     RateAllocation allocation = *PlanRateAllocation({}, members, Limits(100));
     members[1].hasLapsed = true;
     members[0].demand[kBlue] = 80;
@@ -179,6 +181,75 @@
     }
   }
 
+  /** The allocation of 89 VMs and 87 organisations exceeded the largest row of the store (64 KiB),
+     so that no request was served; and a small rate divided by 89 is less than a token a VM. */
+  void FewVmsOfALargeFleetHoldParts()
+  {
+    std::map<OrganisationName, OrganisationLimit> limits;
+    for (int index = 0; index < 87; ++index) {
+      limits[OrganisationName("organisation-" + std::to_string(index))] = { 14, 14 };
+    }
+    std::vector<RateMember> members;
+    RateAllocation allocation;
+    const auto settle = [&] {
+      for (int round = 0; round < 6; ++round) {
+        for (RateMember& member : members) {
+          member.confirmedVersion = allocation.version;
+        }
+        if (auto next = PlanRateAllocation(allocation, members, limits)) {
+          allocation = std::move(*next);
+        }
+        for (const auto& [organisation, shares] : allocation.shares) {
+          std::uint32_t held = 0;
+          for (const auto& [vm, share] : shares) {
+            held += share.ceiling;
+          }
+          CPPUNIT_ASSERT(held <= kRateParts);
+        }
+      }
+    };
+    const auto join = [&](std::size_t aCount) {
+      while (members.size() < aCount) {
+        const std::size_t index = members.size();
+        members.push_back({ VmId("front-kigali-" + std::to_string(index)),
+                            FailureDomainName("kigali-" + std::to_string(index % 4)),
+                            0,
+                            {},
+                            false });
+      }
+      settle();
+    };
+    join(6);
+    Section("a small fleet holds parts on all VMs", [&] {
+      CPPUNIT_ASSERT_EQUAL(std::size_t(6), allocation.shares.begin()->second.size());
+    });
+    join(89);
+    Section("a large one on two of each failure domain", [&] {
+      for (const auto& [organisation, shares] : allocation.shares) {
+        std::map<FailureDomainName, std::uint32_t> parts;
+        for (const RateMember& member : members) {
+          parts[member.domain] += allocation.PartsOf(organisation, member.vm);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(8), shares.size());
+        for (const auto& [domain, count] : parts) {
+          CPPUNIT_ASSERT(count > 0.8 * kRateParts / 4);
+        }
+      }
+    });
+    Section("the row is well below the limit of a row",
+            [&] { CPPUNIT_ASSERT(EncodeRateAllocation(allocation).size() < 64 * 1024 / 2); });
+    Section("a holder that has stopped is replaced in its failure domain", [&] {
+      const VmId stopped = allocation.shares.begin()->second.begin()->first;
+      const auto member = std::find_if(
+        members.begin(), members.end(), [&](const auto& aMember) { return aMember.vm == stopped; });
+      member->hasLapsed = true;
+      settle();
+      const auto& shares = allocation.shares.begin()->second;
+      CPPUNIT_ASSERT_EQUAL(std::size_t(8), shares.size());
+      CPPUNIT_ASSERT(!shares.contains(stopped));
+    });
+  }
+
   void ALeaseThatHasEndedStopsTheBuckets()
   {
     const Instant start{ seconds(100) };
@@ -277,7 +348,7 @@
     std::vector<RateMember> members;
     members.reserve(aVms.size());
     for (const HistoryVm& vm : aVms) {
-      members.push_back({ vm.id, vm.inForce.version, { { kBlue, vm.demand } }, false });
+      members.push_back({ vm.id, {}, vm.inForce.version, { { kBlue, vm.demand } }, false });
     }
     if (auto next = PlanRateAllocation(aAllocation, members, aLimits)) {
       aAllocation = std::move(*next);
--- a/packages/proxy/tests/TokenExchangeTest.cpp
+++ b/packages/proxy/tests/TokenExchangeTest.cpp
@@ -75,14 +75,16 @@
     }
   }
 
-  /** Puts an even division in force at all VMs and lets them read each other's rows. */
-  void Share()
+  /** Puts an even division in force and lets the VMs read each other's rows. */
+  void Share() { this->Share(this->vms.size()); }
+  /** The same with parts for the first VMs only. */
+  void Share(std::size_t aHolders)
   {
     RateAllocation allocation;
     allocation.version = 1;
-    for (const auto& vm : this->vms) {
-      const auto parts = static_cast<std::uint32_t>(kRateParts / this->vms.size());
-      allocation.shares[kBlue][vm->id] = { parts, parts, 1 };
+    for (std::size_t index = 0; index < aHolders; ++index) {
+      const auto parts = static_cast<std::uint32_t>(kRateParts / aHolders);
+      allocation.shares[kBlue][this->vms[index]->id] = { parts, parts, 1 };
     }
     std::vector<StoredRow> rows{
       { std::string(FleetView::kAllocationKey), EncodeRateAllocation(allocation), 1, false }
@@ -167,6 +169,7 @@
   , messenger(aFleet)
   , gate(this->buckets, aFleet.scheduler)
   , exchange(VmId(aName),
+             FailureDomainName("d"),
              aIncarnation,
              this->messenger,
              this->view,
@@ -184,6 +187,7 @@
 {
   CPPUNIT_TEST_SUITE(TokenExchangeTest);
   CPPUNIT_TEST(ClientsOnOneVmGetTheWholeRate);
+  CPPUNIT_TEST(VmsWithoutPartsFetchTheirTokens);
   CPPUNIT_TEST(NewProcessesBorrowTheirFirstTokens);
   CPPUNIT_TEST(OperationsOverTheRateAreRefusedSoon);
   CPPUNIT_TEST(WindowsKeepTheToleranceInSeededHistories);
@@ -213,6 +217,27 @@
                            static_cast<double>(fleet.admitted.size()) >= 0.97 * fleet.asked);
   }
 
+  /** In large fleets few VMs hold parts of a rate, and clients are anywhere. */
+  void VmsWithoutPartsFetchTheirTokens()
+  {
+    Fleet fleet(40);
+    fleet.Share(8);
+    fleet.Advance(seconds(6));
+    std::exponential_distribution<double> gap(0.9 * kRate);
+    const Instant end = fleet.now + seconds(60);
+    for (int count = 0; fleet.now < end; ++count) {
+      fleet.Ask(fleet.random() % 40);
+      if (count % 50 == 0) {
+        fleet.Share(8);
+      }
+      fleet.Advance(
+        std::chrono::duration_cast<Duration>(std::chrono::duration<double>(gap(fleet.random))));
+    }
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(fleet.admitted.size()) + " of " +
+                             std::to_string(fleet.asked),
+                           static_cast<double>(fleet.admitted.size()) > 0.99 * fleet.asked);
+  }
+
   void NewProcessesBorrowTheirFirstTokens()
   {
     Fleet fleet(6);
