Close scarce connections soon, and let each VM open two a server

Most openings were then refused by the server, and a transaction in its client's pause held up all other statements of its VM. Change: where a server takes fewer than two connections a VM, a VM may open two, and closes them 0.3 s after their last use.

--- a/packages/proxy/SessionProxy.h
+++ b/packages/proxy/SessionProxy.h
@@ -334,7 +334,7 @@
     this->coordinator.SetUnreachable(aNow, this->prober.UnreachablePrimaries(aNow));
     this->coordinator.SetUrgent(aNow, this->driver.HasWork(aNow));
     this->driver.Step(aNow, this->coordinator.DutyLeaseUntil());
-    this->pool.CloseUnused(aNow - this->settings.idleConnection);
+    this->pool.CloseUnused(aNow, this->settings.idleConnection);
     this->scheduler.Schedule(aNow + kCheckPeriod, [this](Instant aThen) { this->Check(aThen); });
   }
 
--- a/packages/proxy/pool/ServerPool.h
+++ b/packages/proxy/pool/ServerPool.h
@@ -112,13 +112,17 @@
   }
 
   /** Closes idle connections to servers that are gone, restarted or leaving, and those that have
-      been idle since aIdleSince. */
-  void CloseUnused(Instant aIdleSince)
+      been idle for aLongestIdle, or for kScarceIdle where connections are scarce. */
+  void CloseUnused(Instant aNow, Duration aLongestIdle)
   {
     for (auto& [id, server] : this->servers) {
+      const ServerRecord* record = this->cluster.Find(id);
+      const bool isScarce = record != nullptr && this->AreConnectionsScarce(*record);
+      const Instant idleSince =
+        aNow - (isScarce ? std::min(kScarceIdle, aLongestIdle) : aLongestIdle);
       std::vector<Connection*> unused;
       for (const auto& connection : server.connections) {
-        if (!connection->isBusy && connection->idleSince <= aIdleSince) {
+        if (!connection->isBusy && connection->idleSince <= idleSince) {
           unused.push_back(connection.get());
         }
       }
@@ -189,12 +193,29 @@
                                [](const auto& aConnection) { return aConnection->isBusy; }));
   }
 
-  std::size_t LimitOf(const ServerRecord& aServer) const
+  /** Connections that the server takes from all VMs together. */
+  std::size_t TotalLimitOf(const ServerRecord& aServer) const
   {
     const auto& limits = this->cluster.Configuration().connectionLimits;
     const auto limit = limits.find(aServer.group);
-    const std::size_t total = limit == limits.end() ? 1 : limit->second;
-    return this->fleetSize ? std::max<std::size_t>(1, total / *this->fleetSize) : 1;
+    return limit == limits.end() ? 1 : limit->second;
+  }
+
+  /** Whether the server takes too few connections for each VM to keep some. Few are in use at once
+      then, and VMs make room for each other by closing them soon. */
+  bool AreConnectionsScarce(const ServerRecord& aServer) const
+  {
+    return this->fleetSize && this->TotalLimitOf(aServer) < kLeastConnections * *this->fleetSize;
+  }
+
+  /** Connections that this VM may have to the server. */
+  std::size_t LimitOf(const ServerRecord& aServer) const
+  {
+    if (!this->fleetSize) {
+      return 1;
+    }
+    return std::max(std::min(kLeastConnections, this->TotalLimitOf(aServer)),
+                    this->TotalLimitOf(aServer) / *this->fleetSize);
   }
 
   /** Whether an idle connection may stay open. */
@@ -519,6 +540,12 @@
   /** Connections to one server that this VM opens at the same time. Each occupies one of its few
       slots for longer than a statement. */
   static constexpr std::size_t kMostOpenings = 1;
+  /** Connections to a server that each VM may open however large the fleet is, so that a
+     transaction in its client's pause doesn't hold up all others. */
+  static constexpr std::size_t kLeastConnections = 2;
+  /** Longest idle time of connections that are scarce: a few gaps between statements of a
+     transaction's end and the next operation of a busy client. */
+  static constexpr Duration kScarceIdle = std::chrono::milliseconds(300);
   /** An idle connection of another organisation may be closed after this time: longer than the
       gaps between statements that follow each other. */
   static constexpr Duration kRestBeforeReplace = std::chrono::milliseconds(30);
