--- a/packages/proxy/session/ClientSession.h
+++ b/packages/proxy/session/ClientSession.h
@@ -3,19 +3,21 @@
 #include "core/base/Assert.h"
 #include "core/base/NameTable.h"
 #include "proxy/pool/ConnectionScript.h"
-#include "proxy/session/PreparedStatement.h"
+#include "proxy/pool/RollBackAndRelease.h"
+#include "proxy/session/LogStatement.h"
 #include "proxy/session/ServerChoice.h"
+#include "proxy/session/SessionAccess.h"
 #include "proxy/session/SessionContext.h"
+#include "proxy/session/SessionStatements.h"
 #include "proxy/session/SetupCommands.h"
+#include "proxy/session/StatementFlight.h"
 #include "proxy/statement/ClientReply.h"
 #include "proxy/statement/Statement.h"
 
 #include <algorithm>
 #include <functional>
-#include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -59,7 +61,7 @@
                             "session",
                             refusal ? "refused" : "opened",
                             { { "database", this->database },
-                              { "organisation", this->organisation.Text() },
+                              { "organisation", this->access.organisation.Text() },
                               { "error", refusal ? NameText(*refusal) : "none" },
                               { "configuration", this->VersionText() } });
     return refusal;
@@ -78,16 +80,9 @@
     this->flight->startedAt = aNow;
     switch (this->flight->statement.kind) {
       case StatementKind::SetValue:
-        this->values[this->flight->statement.name] = this->flight->statement.body;
-        this->ReplyDone(aNow);
-        return;
       case StatementKind::Prepare:
-        this->preparedStatements[this->flight->statement.name] = { this->flight->statement.access,
-                                                                   this->flight->statement.body };
-        this->ReplyDone(aNow);
-        return;
       case StatementKind::Deallocate:
-        this->preparedStatements.erase(this->flight->statement.name);
+        this->statements.Apply(this->flight->statement);
         this->ReplyDone(aNow);
         return;
       case StatementKind::Begin:
@@ -157,32 +152,6 @@
     Failed,
   };
 
-  struct Flight
-  {
-    std::string requestId;
-    Statement statement;
-    Reply reply;
-    Instant startedAt{};
-    Instant deadline{};
-    unsigned tries = 0;
-    std::set<ServerId> excluded;
-    StatementPath path = StatementPath::Primary;
-    std::optional<LogPosition> floor;
-    typename ServerPool<Network>::Ticket ticket = 0;
-    TokenGate::Ticket tokenTicket = 0;
-    /** A rate token was taken, and no server was asked to run the operation yet. */
-    bool hasToken = false;
-    /** The server that was asked last. */
-    std::optional<ServerId> server;
-    /** Time until the latest connection was there. */
-    Duration waited{ 0 };
-    /** A script is under way on `connection`. */
-    bool isRunning = false;
-    std::optional<Scheduler::TaskId> deadlineTimer;
-    std::optional<Scheduler::TaskId> retryTimer;
-    std::optional<Scheduler::TaskId> silenceTimer;
-  };
-
   static std::string NameText(ErrorCode aCode)
   {
     return std::string(NameOf(kErrorCodeNames, aCode));
@@ -192,39 +161,17 @@
     return std::to_string(this->context.cluster.Configuration().version);
   }
 
-  const SessionRoute* FindRoute() const
-  {
-    const auto& routes = this->context.cluster.Configuration().routes;
-    const auto found = routes.find(this->database);
-    return found == routes.end() ? nullptr : &found->second;
-  }
-
   /** Looks route and organisation up in the configuration in force. */
   std::optional<ErrorCode> CheckAccess(Instant aNow)
   {
-    if (!this->context.cluster.HasConfiguration()) {
-      return ErrorCode::Busy;
-    }
-    const SessionRoute* found = this->FindRoute();
-    if (found == nullptr) {
-      return ErrorCode::UnknownDatabase;
-    }
-    if (found->isPublic) {
-      this->organisation = OrganisationName();
-    } else {
-      if (!this->context.cluster.IsTrusted(aNow)) {
-        return ErrorCode::Busy;
-      }
-      const auto& keys = this->context.cluster.Configuration().organisationsByKeyHash;
-      const auto key = keys.find(this->keyHash);
-      if (key == keys.end()) {
-        return ErrorCode::Unauthorised;
-      }
-      this->organisation = key->second;
+    auto found = FindSessionAccess(aNow, this->context.cluster, this->database, this->keyHash);
+    if (!found) {
+      return found.error();
     }
+    this->access.organisation = std::move(found->organisation);
     // A change of the route counts from the next transaction on.
     if (this->transaction != Transaction::Open) {
-      this->route = *found;
+      this->access.route = std::move(found->route);
     }
     return std::nullopt;
   }
@@ -270,18 +217,9 @@
 
   const PreparedStatement* FindPrepared() const
   {
-    const auto found = this->preparedStatements.find(this->flight->statement.name);
-    return found == this->preparedStatements.end() ? nullptr : &found->second;
-  }
-
-  bool IsWrite() const
-  {
-    if (this->flight->statement.kind == StatementKind::Execute) {
-      const PreparedStatement* prepared = this->FindPrepared();
-      return prepared != nullptr && prepared->access == AccessKind::Write;
-    }
-    return this->flight->statement.kind == StatementKind::Write;
+    return this->statements.Find(this->flight->statement);
   }
+  bool IsWrite() const { return this->statements.IsWrite(this->flight->statement); }
 
   /** Whether a lost answer leaves open whether something was kept. */
   bool MayKeepSomething() const
@@ -299,15 +237,15 @@
       this->ReplyError(aNow, ErrorCode::UnknownStatement, "no such prepared statement");
       return;
     }
-    if (this->transaction != Transaction::Open && !this->organisation.IsEmpty()) {
+    if (this->transaction != Transaction::Open && !this->access.organisation.IsEmpty()) {
       // Counted whether it is served or not, so that the rate is divided by what clients want.
-      this->context.buckets.CountDemand(aNow, this->organisation);
+      this->context.buckets.CountDemand(aNow, this->access.organisation);
     }
     if (const std::optional<ErrorCode> refusal = this->CheckAccess(aNow)) {
       this->Fail(aNow, *refusal, "the configuration in force doesn't allow it");
       return;
     }
-    this->flight->deadline = aNow + this->route.statementTimeout;
+    this->flight->deadline = aNow + this->access.route.statementTimeout;
     this->flight->deadlineTimer = this->context.scheduler.Schedule(
       this->flight->deadline, [self = this->weak_from_this()](Instant aThen) {
         if (const auto session = self.lock()) {
@@ -330,7 +268,7 @@
 
   void TakeToken(Instant aNow)
   {
-    if (this->route.isPublic) {
+    if (this->access.route.isPublic) {
       this->Dispatch(aNow);
       return;
     }
@@ -340,7 +278,9 @@
       return;
     }
     const auto ticket = this->context.gate.Admit(
-      aNow, this->organisation, [self = this->shared_from_this()](Instant aThen, bool aIsAdmitted) {
+      aNow,
+      this->access.organisation,
+      [self = this->shared_from_this()](Instant aThen, bool aIsAdmitted) {
         if (!self->flight || self->hasEnded) {
           return;
         }
@@ -354,8 +294,8 @@
             "rate",
             "refused",
             { { "id", self->flight->requestId },
-              { "organisation", self->organisation.Text() },
-              { "figures", self->context.buckets.Describe(aThen, self->organisation) } });
+              { "organisation", self->access.organisation.Text() },
+              { "figures", self->context.buckets.Describe(aThen, self->access.organisation) } });
           self->Fail(aThen, ErrorCode::Busy, "the organisation is over its rate");
         }
       });
@@ -389,12 +329,12 @@
       return;
     }
     const auto waitBound = std::chrono::duration_cast<Duration>(
-      this->route.statementTimeout * this->context.timings.connectionWaitPart);
+      this->access.route.statementTimeout * this->context.timings.connectionWaitPart);
     ConnectionRequest<Network> request;
-    request.organisation = this->organisation;
+    request.organisation = this->access.organisation;
     request.candidates = std::move(candidates);
     request.giveUpAt = std::min(this->flight->deadline, this->flight->startedAt + waitBound);
-    request.priority = this->route.priority;
+    request.priority = this->access.route.priority;
     request.handler = [self = this->shared_from_this()](Instant aThen, Connection* aConnection) {
       self->OnConnection(aThen, aConnection);
     };
@@ -410,8 +350,8 @@
   {
     const bool isPlainTransaction = this->transaction == Transaction::Pending && !this->isReadOnly;
     ServerChoice choice = this->context.chooser.Choose(aNow,
-                                                       { this->route,
-                                                         this->organisation,
+                                                       { this->access.route,
+                                                         this->access.organisation,
                                                          this->IsWrite() || isPlainTransaction,
                                                          this->lastWrite,
                                                          this->flight->excluded });
@@ -476,7 +416,7 @@
       const bool isExecute = this->flight->statement.kind == StatementKind::Execute;
       commands = MakeSetupCommands(this->connection->values,
                                    this->connection->prepared,
-                                   this->values,
+                                   this->statements.Values(),
                                    isExecute ? this->FindPrepared() : nullptr);
     }
     if (this->flight->path != StatementPath::Pinned) {
@@ -544,7 +484,7 @@
     this->CancelTimer(this->flight->silenceTimer);
     if (aResult.beginPosition) {
       this->context.positions.Observe(
-        this->route.group, aResult.beginSentAt, *aResult.beginPosition);
+        this->access.route.group, aResult.beginSentAt, *aResult.beginPosition);
     }
     if (aResult.reply.position) {
       this->context.replicaPositions.Note(this->connection->server, *aResult.reply.position, aNow);
@@ -619,7 +559,7 @@
     }
     const bool hasCommittedWrite = isCommit ? this->hasWritten : isWrite && !isInTransaction;
     if (hasCommittedWrite && reply.position) {
-      this->context.positions.Observe(this->route.group, aResult.sentAt, *reply.position);
+      this->context.positions.Observe(this->access.route.group, aResult.sentAt, *reply.position);
       this->lastWrite =
         this->lastWrite ? std::max(*this->lastWrite, *reply.position) : reply.position;
     }
@@ -766,7 +706,8 @@
       return;
     }
     const bool mayKeep = this->MayKeepSomething();
-    this->context.health.NoteFailure(this->connection->server, aNow - this->route.statementTimeout);
+    this->context.health.NoteFailure(this->connection->server,
+                                     aNow - this->access.route.statementTimeout);
     this->LoseConnection(aNow);
     if (this->hasEnded) {
       this->CancelTimers();
@@ -793,7 +734,7 @@
   void Fail(Instant aNow, ErrorCode aError, const char* aWhy)
   {
     if (this->flight->hasToken) {
-      this->context.buckets.Refund(aNow, this->organisation);
+      this->context.buckets.Refund(aNow, this->access.organisation);
     }
     if (this->transaction != Transaction::None) {
       this->FailTransaction(aNow, aError, aWhy);
@@ -838,30 +779,10 @@
       this->context.pool.Release(aNow, released);
       return;
     }
-    ServerCommand rollback;
-    rollback.kind = ServerCommandKind::Rollback;
-    ServerPool<Network>* pool = &this->context.pool;
-    const auto timer = this->context.scheduler.Schedule(
-      aNow + kRollbackLimit, [pool, released](Instant aThen) { pool->Discard(aThen, released); });
-    Scheduler* scheduler = &this->context.scheduler;
-    ConnectionScript<Network>::Run(
-      aNow,
-      *released,
-      this->context.health,
-      { std::move(rollback) },
-      [pool, released, scheduler, timer](Instant aThen, const ScriptResult& aResult) {
-        scheduler->Cancel(timer);
-        if (aResult.reply.status == ReplyStatus::Done) {
-          pool->Release(aThen, released);
-        } else {
-          pool->Discard(aThen, released);
-        }
-      });
+    RollBackAndRelease(
+      aNow, this->context.pool, this->context.health, this->context.scheduler, *released);
   }
 
-  /** A rollback that takes longer closes the connection instead. */
-  static constexpr Duration kRollbackLimit = std::chrono::seconds(1);
-
   void ReplyDone(Instant aNow) { this->FinishStatement(aNow, ClientReply{}, false); }
 
   void ReplyError(Instant aNow, ErrorCode aError, const char* aWhy)
@@ -879,10 +800,16 @@
     const bool isOwnAnswer = !aReply.error && aReply.signature.empty();
     if (!isOwnAnswer) {
       // What the proxy answers by itself needs no server, and would crowd out lines that matter.
-      this->LogOutcome(aNow, aReply);
-    }
-    this->context.count({ this->organisation,
-                          this->route.consistency,
+      LogStatement(aNow,
+                   this->context.log,
+                   this->context.cluster,
+                   this->database,
+                   this->access,
+                   *this->flight,
+                   aReply);
+    }
+    this->context.count({ this->access.organisation,
+                          this->access.route.consistency,
                           this->flight->statement.kind,
                           aReply.error,
                           aNow - this->flight->startedAt,
@@ -897,34 +824,6 @@
     }
   }
 
-  /** One line with what decided the statement: the server that was asked, the believed primary, the
-      log position that was needed, and the age of the configuration. */
-  void LogOutcome(Instant aNow, const ClientReply& aReply) const
-  {
-    const std::optional<ServerId> primary = this->context.cluster.PrimaryOf(this->route.group);
-    const auto& floor = this->flight->floor;
-    this->context.log.Write(
-      aNow,
-      "statement",
-      aReply.error ? "refused" : "done",
-      { { "id", this->flight->requestId },
-        { "kind", std::string(NameOf(kStatementKindNames, this->flight->statement.kind)) },
-        { "database", this->database },
-        { "organisation", this->organisation.Text() },
-        { "server", this->flight->server ? this->flight->server->Text() : "none" },
-        { "primary", primary ? primary->Text() : "none" },
-        { "needed",
-          floor ? std::to_string(floor->term) + "." + std::to_string(floor->offset) : "none" },
-        { "error", aReply.error ? NameText(*aReply.error) : "none" },
-        { "why", aReply.message },
-        { "tries", std::to_string(this->flight->tries) },
-        { "us", std::to_string((aNow - this->flight->startedAt).count()) },
-        { "waited_us", std::to_string(this->flight->waited.count()) },
-        { "configuration", this->VersionText() },
-        { "confirmed_ms",
-          std::to_string((aNow - this->context.cluster.ConfirmedAt()).count() / 1000) } });
-  }
-
   void ArmIdleTimer(Instant aNow)
   {
     this->idleTimer = this->context.scheduler.Schedule(
@@ -962,10 +861,8 @@
   SessionContext<Network>& context;
   std::string database;
   std::string keyHash;
-  OrganisationName organisation;
-  SessionRoute route;
-  SessionValues values;
-  std::map<std::string, PreparedStatement> preparedStatements;
+  SessionAccess access;
+  SessionStatements statements;
   Transaction transaction = Transaction::None;
   bool isReadOnly = false;
   bool hasWritten = false;
@@ -973,7 +870,7 @@
   std::optional<LogPosition> lastWrite;
   /** Held while a statement runs and while a transaction is open at a server. */
   Connection* connection = nullptr;
-  std::optional<Flight> flight;
+  std::optional<StatementFlight<Network>> flight;
   std::optional<Scheduler::TaskId> idleTimer;
   bool hasEnded = false;
 };
--- /dev/null
+++ b/packages/proxy/session/SessionStatements.cpp
@@ -0,0 +1,39 @@
+#include "proxy/session/SessionStatements.h"
+
+#include "core/base/Assert.h"
+
+namespace mustardshift::proxy {
+
+void SessionStatements::Apply(const Statement& aStatement)
+{
+  switch (aStatement.kind) {
+    case StatementKind::SetValue:
+      this->values[aStatement.name] = aStatement.body;
+      return;
+    case StatementKind::Prepare:
+      this->prepared[aStatement.name] = { aStatement.access, aStatement.body };
+      return;
+    case StatementKind::Deallocate:
+      this->prepared.erase(aStatement.name);
+      return;
+    default:
+      MUSTARDSHIFT_ASSERT(false);
+  }
+}
+
+const PreparedStatement* SessionStatements::Find(const Statement& aStatement) const
+{
+  const auto found = this->prepared.find(aStatement.name);
+  return found == this->prepared.end() ? nullptr : &found->second;
+}
+
+bool SessionStatements::IsWrite(const Statement& aStatement) const
+{
+  if (aStatement.kind == StatementKind::Execute) {
+    const PreparedStatement* statement = this->Find(aStatement);
+    return statement != nullptr && statement->access == AccessKind::Write;
+  }
+  return aStatement.kind == StatementKind::Write;
+}
+
+} // namespace mustardshift::proxy
