Report lines that were left out of the log once a second

Change: such reports are at least a second apart. Test: a section of EventLogTest::TheNumberOfLinesIsBounded.

--- a/packages/proxy/log/EventLog.cpp
+++ b/packages/proxy/log/EventLog.cpp
@@ -50,7 +50,8 @@
     return;
   }
   this->budget -= 1;
-  if (this->dropped > 0) {
+  if (this->dropped > 0 && aNow - this->reportedAt >= kReportPeriod) {
+    this->reportedAt = aNow;
     this->Emit(aNow, "log", "lines-dropped", { { "count", std::to_string(this->dropped) } });
     this->dropped = 0;
   }
--- a/packages/proxy/log/EventLog.h
+++ b/packages/proxy/log/EventLog.h
@@ -50,7 +50,11 @@
   double linesPerSecond;
   double budget;
   Instant filledUntil{};
+  /** Shortest time between two reports of what was left out. */
+  static constexpr Duration kReportPeriod = std::chrono::seconds(1);
+
   std::uint64_t dropped = 0;
+  Instant reportedAt{};
   std::uint64_t droppedTotal = 0;
 };
 
--- a/packages/proxy/tests/EventLogTest.cpp
+++ b/packages/proxy/tests/EventLogTest.cpp
@@ -1,6 +1,7 @@
 #include "proxy/log/EventLog.h"
 #include "support/Section.h"
 
+#include <algorithm>
 #include <chrono>
 #include <cppunit/extensions/HelperMacros.h>
 #include <string>
@@ -40,6 +41,17 @@
                            lines.at(lines.size() - 2));
       CPPUNIT_ASSERT_EQUAL(std::uint64_t(990), log.DroppedLines());
     });
+    Section("once a second, or the reports would crowd out the lines", [&] {
+      lines.clear();
+      for (int millisecond = 0; millisecond < 5000; ++millisecond) {
+        log.Write(
+          start + seconds(2) + std::chrono::milliseconds(millisecond), "statement", "done", {});
+      }
+      const auto reports = std::count_if(lines.begin(), lines.end(), [](const std::string& aLine) {
+        return aLine.find("lines-dropped") != std::string::npos;
+      });
+      CPPUNIT_ASSERT(reports >= 4 && reports <= 5);
+    });
   }
 
   void ValuesStayOnTheirLine()
