Make fewer calls to the store in large fleets

Change: with more than 16 VMs, the fleet's table is read and the own row renewed every 2.4 s instead of 1.5 s (two renewals in a lease), and a watch of the configuration is held for 1.2 s instead of 0.8 s. While a primary has to be replaced, only the holder of the duty and the first three that would take it over look every 0.3 s, in fleets of any size. Test: FleetHistoryTest::LargeFleetsMakeFewerCallsAVm.

--- a/packages/proxy/SessionProxy.h
+++ b/packages/proxy/SessionProxy.h
@@ -4,6 +4,7 @@
 #include "proxy/ProxySettings.h"
 #include "proxy/RecordDecoder.h"
 #include "proxy/cluster/ClusterState.h"
+#include "proxy/coordination/ChooseDelegates.h"
 #include "proxy/coordination/FleetCoordinator.h"
 #include "proxy/coordination/FleetView.h"
 #include "proxy/coordination/TableFollower.h"
@@ -306,6 +307,9 @@
   void OnFleetRead(Instant aNow)
   {
     this->ShareConnections(aNow);
+    this->operators.SetWait(this->fleet.Members().size() > kMostVmsWithoutDelegates
+                              ? this->settings.configurationWatchOfLargeFleet
+                              : this->settings.configurationWatch);
     this->driver.Step(aNow, this->coordinator.DutyLeaseUntil());
   }
 
--- a/packages/proxy/coordination/FleetCoordinator.h
+++ b/packages/proxy/coordination/FleetCoordinator.h
@@ -32,6 +32,9 @@
 public:
   /** Period of reads and of renewals of this VM's row. */
   static constexpr Duration kPeriod = std::chrono::milliseconds(1500);
+  /** The same in a fleet with delegates, where each period's calls add up; two renewals in a lease.
+   */
+  static constexpr Duration kLargeFleetPeriod = std::chrono::milliseconds(2400);
   /** Period of renewals by the holder of the promotion duty, so that it is missed soon. */
   static constexpr Duration kHolderPeriod = std::chrono::milliseconds(500);
   /** Period of reads while a primary has to be replaced. */
@@ -129,9 +132,16 @@
                      });
   }
 
+  Duration Period() const
+  {
+    return this->fleet.Members().size() > kMostVmsWithoutDelegates ? kLargeFleetPeriod : kPeriod;
+  }
+
   Duration ReadPeriod() const
   {
-    return this->isUrgent || !this->unreachable.empty() ? kUrgentPeriod : kPeriod;
+    const bool isUrgentHere =
+      (this->isUrgent || !this->unreachable.empty()) && this->fleet.IsNearDuty(this->self);
+    return isUrgentHere ? kUrgentPeriod : this->Period();
   }
 
   void ReadAgain(Instant aNow)
@@ -238,7 +248,7 @@
     this->scheduler.Schedule(aNow + kHolderPeriod, [this](Instant aThen) {
       const auto& duty = this->fleet.Duty();
       const bool isHolder = duty && duty->holder == this->self;
-      if (isHolder || aThen - this->renewedAt >= kPeriod) {
+      if (isHolder || aThen - this->renewedAt >= this->Period()) {
         this->Renew(aThen);
       }
       this->RenewAgain(aThen);
--- a/packages/proxy/coordination/FleetView.cpp
+++ b/packages/proxy/coordination/FleetView.cpp
@@ -103,12 +103,28 @@
   return this->readHoldsUntil && sentBy.count() > 0 && *this->readHoldsUntil - sentBy >= aTime;
 }
 
-bool FleetView::MayTakeDuty(const VmId& aVm) const
+std::vector<VmId> FleetView::Successors() const
 {
   std::vector<VmId> successors = this->FreshMembers();
   if (this->duty) {
     std::erase(successors, this->duty->holder);
   }
+  return successors;
+}
+
+bool FleetView::IsNearDuty(const VmId& aVm) const
+{
+  if (this->duty && this->duty->holder == aVm) {
+    return true;
+  }
+  const std::vector<VmId> successors = this->Successors();
+  const auto place = std::find(successors.begin(), successors.end(), aVm);
+  return place != successors.end() && place - successors.begin() < kNearestSuccessors;
+}
+
+bool FleetView::MayTakeDuty(const VmId& aVm) const
+{
+  const std::vector<VmId> successors = this->Successors();
   const auto place = std::find(successors.begin(), successors.end(), aVm);
   if (place == successors.end()) {
     return false;
--- a/packages/proxy/coordination/FleetView.h
+++ b/packages/proxy/coordination/FleetView.h
@@ -44,6 +44,8 @@
   /** VMs that may take the duty over do so in the order of their names, each this much later than
      the one before, which may have stopped too: about the period of reads at such a time. */
   static constexpr Duration kSuccessionStep = std::chrono::milliseconds(300);
+  /** VMs that look often for what the holder of the duty may have to do. */
+  static constexpr std::ptrdiff_t kNearestSuccessors = 3;
   /** The opinion of a VM counts while its row is younger than this: three renewals. */
   static constexpr Duration kFreshFor = std::chrono::milliseconds(4500);
 
@@ -84,6 +86,8 @@
   void SetDuty(DutyRow aDuty, std::uint64_t aRowVersion);
 
   bool HasLapsed(const VmId& aVm) const { return this->IsUnchangedFor(aVm, kLapseAfter); }
+  /** Whether a VM holds the promotion duty or is one of the first that would take it over. */
+  bool IsNearDuty(const VmId& aVm) const;
   /** Whether a VM's row has changed within kFreshFor. */
   bool IsFresh(const VmId& aVm) const { return !this->IsUnchangedFor(aVm, kFreshFor); }
   /** Whether the promotion duty has no holder that may still order, and it is a VM's turn to take
@@ -99,6 +103,8 @@
   std::vector<RateMember> RateMembers() const;
 
 private:
+  /** Fresh VMs but the holder, in the order in which they take the duty over. */
+  std::vector<VmId> Successors() const;
   /** Whether the VM has no row, or a read shows that it has not changed for so long. */
   bool IsUnchangedFor(const VmId& aVm, Duration aTime) const;
 
--- a/packages/proxy/coordination/TableFollower.h
+++ b/packages/proxy/coordination/TableFollower.h
@@ -60,6 +60,9 @@
   /** Starts with a read of the whole table. Precondition: called once. */
   void Start(Instant aNow) { this->ReadWhole(aNow); }
 
+  /** Sets how long the store may hold a watch, from the next one on. */
+  void SetWait(Duration aWait) { this->wait = aWait; }
+
 private:
   void ReadWhole(Instant aNow)
   {
--- a/packages/proxy/tests/FleetHistoryTest.cpp
+++ b/packages/proxy/tests/FleetHistoryTest.cpp
@@ -35,6 +35,7 @@
   CPPUNIT_TEST(RatesHoldInSeededHistories);
   CPPUNIT_TEST(ReadsSeeAcknowledgedWritesInSeededHistories);
   CPPUNIT_TEST(LargeFleetsSpareThePrimaries);
+  CPPUNIT_TEST(LargeFleetsMakeFewerCallsAVm);
   CPPUNIT_TEST(ServesAgainAfterAllProcessesWereKilled);
   CPPUNIT_TEST_SUITE_END();
 
@@ -451,6 +452,35 @@
     });
   }
 
+  /** Each call to the store has its price, and the store's rates are shared by all VMs. */
+  void LargeFleetsMakeFewerCallsAVm()
+  {
+    const auto callsPerVm = [](std::size_t aVms) {
+      FleetSimulation fleet(aVms, 62);
+      fleet.Advance(seconds(10));
+      const std::size_t before = fleet.store.calls;
+      fleet.Advance(seconds(20));
+      return static_cast<double>(fleet.store.calls - before) / 20 / static_cast<double>(aVms);
+    };
+    const double small = callsPerVm(8);
+    const double large = callsPerVm(40);
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(small) + " and " + std::to_string(large),
+                           large < 0.75 * small);
+    Section("also while a primary has to be replaced", [] {
+      FleetSimulation fleet(40, 63);
+      fleet.CrashServer("s1");
+      const std::size_t before = fleet.store.calls;
+      const Instant crashedAt = fleet.now;
+      while (fleet.orders.accepted.empty() && fleet.now - crashedAt < seconds(2)) {
+        fleet.Advance(milliseconds(10));
+      }
+      const double calls = static_cast<double>(fleet.store.calls - before);
+      const double elapsed = std::chrono::duration<double>(fleet.now - crashedAt).count();
+      CPPUNIT_ASSERT_MESSAGE(std::to_string(calls / elapsed / 40), calls / elapsed / 40 < 3);
+      CPPUNIT_ASSERT_EQUAL(std::size_t(1), fleet.orders.accepted.size());
+    });
+  }
+
   void ServesAgainAfterAllProcessesWereKilled()
   {
     FleetSimulation fleet(6, 9);
