Let VMs of a large fleet confirm the configuration to each other

Change: with more than 16 VMs, two of each failure domain watch the operators' table. The others ask one of them every 0.8 s. An answer counts only if both hold the same rows, and is dated from before its request was sent, less the age that it states. A VM that got no answer for 2 s, holds other rows, or was last confirmed 3 s ago watches the table itself. The configuration watch is held for 0.8 s again, in fleets of any size. An organisation whose rate nobody holds parts of is divided at once; before, a new one was refused for seconds. Tests: FleetHistoryTest::ChangesReachAllVmsOfALargeFleet, WithdrawnKeysStopOnVmsThatAreCutOff with 20 VMs and late messages. They fail when a confirmation is dated at its receipt, and when the rows are not compared.

--- a/packages/proxy/ProxySettings.h
+++ b/packages/proxy/ProxySettings.h
@@ -24,8 +24,6 @@
   /** Longest hold of a watch on the configuration. Its confirmation is up to twice as old, and the
       rest of keyTrust is how long requests with a key are served without the store. */
   Duration configurationWatch = std::chrono::milliseconds(800);
-  /** The same in a fleet with delegates, where each period's calls add up. */
-  Duration configurationWatchOfLargeFleet = std::chrono::milliseconds(1200);
   /** Longest hold of a watch on the list of servers. */
   Duration serverWatch = std::chrono::milliseconds(5000);
   /** An idle connection to a server is closed after this time; servers do so after 60 s. */
--- a/packages/proxy/SessionProxy.h
+++ b/packages/proxy/SessionProxy.h
@@ -4,9 +4,10 @@
 #include "proxy/ProxySettings.h"
 #include "proxy/RecordDecoder.h"
 #include "proxy/cluster/ClusterState.h"
-#include "proxy/coordination/ChooseDelegates.h"
+#include "proxy/coordination/ConfirmationExchange.h"
 #include "proxy/coordination/FleetCoordinator.h"
 #include "proxy/coordination/FleetView.h"
+#include "proxy/coordination/OperatorTableDigest.h"
 #include "proxy/coordination/TableFollower.h"
 #include "proxy/log/EventLog.h"
 #include "proxy/pool/ServerHealth.h"
@@ -101,6 +102,13 @@
                        aMessenger,
                        this->fleet,
                        this->positions)
+    , confirmationExchange(this->settings.vm,
+                           this->settings.domain,
+                           this->settings.incarnation,
+                           aMessenger,
+                           this->fleet,
+                           this->operatorDigest,
+                           this->cluster)
     , coordinator(this->settings.vm,
                   this->settings.domain,
                   this->settings.peerAddress,
@@ -136,6 +144,8 @@
                this->settings.timings,
                std::move(aCount) }
   {
+    this->operators.SetRest(
+      [this](Instant aNow) { return this->confirmationExchange.IsCurrent(aNow); });
   }
   SessionProxy(const SessionProxy&) = delete;
   SessionProxy& operator=(const SessionProxy&) = delete;
@@ -168,7 +178,8 @@
   void OnDatagram(Instant aNow, std::string_view aBytes)
   {
     if (!this->exchange.OnDatagram(aNow, aBytes) &&
-        !this->positionExchange.OnDatagram(aNow, aBytes)) {
+        !this->positionExchange.OnDatagram(aNow, aBytes) &&
+        !this->confirmationExchange.OnDatagram(aNow, aBytes)) {
       this->log.Write(
         aNow, "peer", "malformed-datagram", { { "bytes", std::to_string(aBytes.size()) } });
     }
@@ -185,9 +196,13 @@
   {
     return { [this](Instant aNow, const auto& aRows) {
               this->evacuated.clear();
+              this->operatorDigest.TakeWhole(aRows);
               this->TakeOperatorRows(aNow, aRows);
             },
-             [this](Instant aNow, const auto& aRows) { this->TakeOperatorRows(aNow, aRows); },
+             [this](Instant aNow, const auto& aRows) {
+               this->operatorDigest.TakeChanges(aRows);
+               this->TakeOperatorRows(aNow, aRows);
+             },
              [this](Instant aAsOf) { this->cluster.Confirm(aAsOf); } };
   }
 
@@ -307,9 +322,6 @@
   void OnFleetRead(Instant aNow)
   {
     this->ShareConnections(aNow);
-    this->operators.SetWait(this->fleet.Members().size() > kMostVmsWithoutDelegates
-                              ? this->settings.configurationWatchOfLargeFleet
-                              : this->settings.configurationWatch);
     this->driver.Step(aNow, this->coordinator.DutyLeaseUntil());
   }
 
@@ -332,6 +344,7 @@
     this->ShareConnections(aNow);
     this->RemoveGoneServers(aNow);
     this->cluster.ForgetOldRefusals(aNow);
+    this->confirmationExchange.Step(aNow);
     this->prober.Step(aNow, [&](const DatabaseName& aGroup) {
       return this->positionExchange.Fetch(aNow, aGroup, PrimaryProber<Network>::kQuietTime);
     });
@@ -358,6 +371,8 @@
   TokenGate gate;
   TokenExchange<Messenger> exchange;
   PositionExchange<Messenger> positionExchange;
+  OperatorTableDigest operatorDigest;
+  ConfirmationExchange<Messenger> confirmationExchange;
   FleetCoordinator<Store> coordinator;
   std::set<FailureDomainName> evacuated;
   /** Servers whose entries have gone, and since when. */
--- /dev/null
+++ b/packages/proxy/coordination/ConfirmationExchange.h
@@ -0,0 +1,159 @@
+#pragma once
+
+#include "core/base/Instant.h"
+#include "core/base/Names.h"
+#include "proxy/cluster/ClusterState.h"
+#include "proxy/coordination/ChooseDelegates.h"
+#include "proxy/coordination/ConfirmationMessage.h"
+#include "proxy/coordination/FleetView.h"
+#include "proxy/coordination/OperatorTableDigest.h"
+#include "proxy/rate/PeerMessenger.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <string_view>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace mustardshift::proxy {
+
+/** Has the configuration confirmed by VMs that watch the operators' table, instead of by a watch of
+   its own. In a large fleet it spares the store most of the watches.
+
+    An answer counts only if both VMs hold the same rows. It is dated from before its request was
+   sent, less the age that it states, so that a late message makes a confirmation older and never
+   younger.
+
+    Thread safety: none; one thread owns the object. */
+template<PeerMessenger Messenger>
+class ConfirmationExchange
+{
+public:
+  /** Period of requests. */
+  static constexpr Duration kPeriod = std::chrono::milliseconds(800);
+  /** Without an answer for this long, the VM watches the table itself: two requests. */
+  static constexpr Duration kAnsweredFor = std::chrono::milliseconds(2000);
+  /** So does one whose configuration was confirmed longer ago than this, since the others don't
+     reach the store: a watch, a request, and some reserve. */
+  static constexpr Duration kConfirmedFor = std::chrono::milliseconds(3000);
+
+  /** @param aIncarnation  tells this process from earlier ones of the VM.
+      All references have to outlive the exchange. */
+  ConfirmationExchange(VmId aSelf,
+                       FailureDomainName aDomain,
+                       std::uint64_t aIncarnation,
+                       Messenger& aMessenger,
+                       const FleetView& aFleet,
+                       const OperatorTableDigest& aDigest,
+                       ClusterState& aCluster)
+    : self(std::move(aSelf))
+    , domain(std::move(aDomain))
+    , incarnation(aIncarnation)
+    , messenger(aMessenger)
+    , fleet(aFleet)
+    , digest(aDigest)
+    , cluster(aCluster)
+  {
+  }
+  ConfirmationExchange(const ConfirmationExchange&) = delete;
+  ConfirmationExchange& operator=(const ConfirmationExchange&) = delete;
+  ~ConfirmationExchange() = default;
+
+  /** Asks a VM that watches the table, when it is time to. */
+  void Step(Instant aNow)
+  {
+    if (this->IsWatcher() || aNow - this->sentAt < kPeriod) {
+      return;
+    }
+    const std::vector<VmId> watchers = this->fleet.DelegatesByDistance(kSubject, this->domain);
+    // Those of the own failure domain by turns, the others only without an answer.
+    const std::size_t choice = aNow - this->answeredAt < kAnsweredFor
+                                 ? std::min(watchers.size(), kDelegatesPerDomain)
+                                 : watchers.size();
+    const VmId& watcher = watchers[this->lastNumber % choice];
+    this->number = ++this->lastNumber;
+    this->sentAt = aNow;
+    this->Send(watcher, ConfirmationRequest{ this->self, this->incarnation, this->number });
+  }
+
+  /** Whether others confirm the configuration, so that this VM needs no watch of its own. */
+  bool IsCurrent(Instant aNow) const
+  {
+    return !this->IsWatcher() && this->isSame && aNow - this->answeredAt < kAnsweredFor &&
+           aNow - this->cluster.ConfirmedAt() < kConfirmedFor;
+  }
+
+  /** Takes a datagram of another VM. Returns whether it was about confirmations. */
+  bool OnDatagram(Instant aNow, std::string_view aBytes)
+  {
+    const auto message = DecodeConfirmationMessage(aBytes);
+    if (!message) {
+      return false;
+    }
+    if (const auto* request = std::get_if<ConfirmationRequest>(&*message)) {
+      this->OnRequest(aNow, *request);
+    } else {
+      this->OnAnswer(aNow, std::get<ConfirmationAnswer>(*message));
+    }
+    return true;
+  }
+
+private:
+  static constexpr const char* kSubject = "configuration";
+
+  bool IsWatcher() const
+  {
+    const auto& watchers = this->fleet.Delegates(kSubject);
+    return watchers.empty() || watchers.contains(this->self);
+  }
+
+  void Send(const VmId& aVm, const ConfirmationMessage& aMessage)
+  {
+    const std::string address = this->fleet.PeerAddressOf(aVm);
+    if (!address.empty()) {
+      this->messenger.Send(address, EncodeConfirmationMessage(aMessage));
+    }
+  }
+
+  void OnRequest(Instant aNow, const ConfirmationRequest& aRequest)
+  {
+    if (this->cluster.HasConfiguration()) {
+      this->Send(aRequest.sender,
+                 ConfirmationAnswer{ aRequest.incarnation,
+                                     aRequest.number,
+                                     this->digest.Value(),
+                                     aNow - this->cluster.ConfirmedAt() });
+    }
+  }
+
+  void OnAnswer(Instant aNow, const ConfirmationAnswer& aAnswer)
+  {
+    if (aAnswer.incarnation != this->incarnation || aAnswer.number != this->number) {
+      return;
+    }
+    this->number = 0;
+    this->isSame = aAnswer.digest == this->digest.Value();
+    this->answeredAt = aNow;
+    if (this->isSame) {
+      this->cluster.Confirm(this->sentAt - aAnswer.age);
+    }
+  }
+
+  VmId self;
+  FailureDomainName domain;
+  std::uint64_t incarnation;
+  Messenger& messenger;
+  const FleetView& fleet;
+  const OperatorTableDigest& digest;
+  ClusterState& cluster;
+  std::uint64_t lastNumber = 0;
+  /** Number of the request that awaits its answer; zero for none. */
+  std::uint64_t number = 0;
+  Instant sentAt{};
+  Instant answeredAt{};
+  /** The latest answer came from a VM with the same rows. */
+  bool isSame = false;
+};
+
+} // namespace mustardshift::proxy
--- a/packages/proxy/coordination/FleetCoordinator.h
+++ b/packages/proxy/coordination/FleetCoordinator.h
@@ -107,6 +107,7 @@
   {
     this->buckets.Configure(aNow, this->cluster.Configuration().limits, this->fleet.Allocation());
     this->inForce = this->fleet.Allocation();
+    this->HastenRead(aNow);
   }
 
   /** Until when this VM may order promotions, if it holds the duty. */
@@ -141,7 +142,16 @@
   {
     const bool isUrgentHere =
       (this->isUrgent || !this->unreachable.empty()) && this->fleet.IsNearDuty(this->self);
-    return isUrgentHere ? kUrgentPeriod : this->Period();
+    return isUrgentHere || this->HasUndividedRate() ? kUrgentPeriod : this->Period();
+  }
+
+  /** Whether the configuration has an organisation whose rate nobody holds parts of yet. */
+  bool HasUndividedRate() const
+  {
+    const auto& limits = this->cluster.Configuration().limits;
+    return std::any_of(limits.begin(), limits.end(), [this](const auto& aEntry) {
+      return !this->fleet.Allocation().shares.contains(aEntry.first);
+    });
   }
 
   void ReadAgain(Instant aNow)
@@ -160,7 +170,7 @@
   /** Brings the next read forward when the period has become shorter. */
   void HastenRead(Instant aNow)
   {
-    if (this->nextReadAt > aNow + this->ReadPeriod()) {
+    if (this->hasRead && this->nextReadAt > aNow + this->ReadPeriod()) {
       this->scheduler.Cancel(this->nextRead);
       this->ScheduleRead(aNow + this->ReadPeriod());
     }
@@ -313,8 +323,9 @@
   void PlanRates(Instant aNow)
   {
     const std::vector<VmId> fresh = this->fleet.FreshMembers();
-    // A VM that has joined waits for no period.
-    const bool isTooSoon = aNow < this->planAgainAt && fresh == this->plannedFor;
+    // A VM that has joined waits for no period, nor does an organisation.
+    const bool isTooSoon =
+      aNow < this->planAgainAt && fresh == this->plannedFor && !this->HasUndividedRate();
     if (this->isPlanning || isTooSoon || !this->cluster.HasConfiguration() || fresh.empty() ||
         fresh.front() != this->self) {
       return;
--- a/packages/proxy/coordination/FleetView.cpp
+++ b/packages/proxy/coordination/FleetView.cpp
@@ -48,7 +48,7 @@
     }
   }
   this->members = std::move(present);
-  this->probers.clear();
+  this->delegates.clear();
   this->readSentAt = aSentAt;
   this->readAnsweredAt = aNow;
   this->storeTime = aRows.storeTime;
@@ -151,15 +151,31 @@
   return member == this->members.end() ? FailureDomainName() : member->second.row.domain;
 }
 
-const std::set<VmId>& FleetView::Probers(const DatabaseName& aGroup) const
+std::string FleetView::PeerAddressOf(const VmId& aVm) const
 {
-  const auto [entry, isNew] = this->probers.try_emplace(aGroup);
+  const auto member = this->members.find(aVm);
+  return member == this->members.end() ? std::string() : member->second.row.peerAddress;
+}
+
+std::vector<VmId> FleetView::DelegatesByDistance(const std::string& aSubject,
+                                                 const FailureDomainName& aFrom) const
+{
+  const std::set<VmId>& chosen = this->Delegates(aSubject);
+  std::vector<VmId> ordered(chosen.begin(), chosen.end());
+  std::stable_partition(
+    ordered.begin(), ordered.end(), [&](const VmId& aVm) { return this->DomainOf(aVm) == aFrom; });
+  return ordered;
+}
+
+const std::set<VmId>& FleetView::Delegates(const std::string& aSubject) const
+{
+  const auto [entry, isNew] = this->delegates.try_emplace(aSubject);
   if (isNew) {
     std::map<VmId, FailureDomainName> fresh;
     for (const VmId& vm : this->FreshMembers()) {
       fresh[vm] = this->DomainOf(vm);
     }
-    entry->second = ChooseDelegates(aGroup.Text(), fresh);
+    entry->second = ChooseDelegates(aSubject, fresh);
   }
   return entry->second;
 }
--- a/packages/proxy/coordination/FleetView.h
+++ b/packages/proxy/coordination/FleetView.h
@@ -97,8 +97,18 @@
   std::vector<VmId> FreshMembers() const;
   /** Failure domain that a VM has written into its row; empty when there is none. */
   FailureDomainName DomainOf(const VmId& aVm) const;
+  /** Where a VM takes datagrams; empty when that isn't known. */
+  std::string PeerAddressOf(const VmId& aVm) const;
+  /** Fresh VMs that do something on behalf of the others, see ChooseDelegates(). */
+  const std::set<VmId>& Delegates(const std::string& aSubject) const;
+  /** The same, those of a failure domain first. */
+  std::vector<VmId> DelegatesByDistance(const std::string& aSubject,
+                                        const FailureDomainName& aFrom) const;
   /** Fresh VMs that ask a group's primary for its position, and tell whether they reach it. */
-  const std::set<VmId>& Probers(const DatabaseName& aGroup) const;
+  const std::set<VmId>& Probers(const DatabaseName& aGroup) const
+  {
+    return this->Delegates(aGroup.Text());
+  }
   /** What the division of rates needs to know of all VMs. */
   std::vector<RateMember> RateMembers() const;
 
@@ -110,7 +120,7 @@
 
   std::map<VmId, Member> members;
   /** Filled as needed, for the present members. */
-  mutable std::map<DatabaseName, std::set<VmId>> probers;
+  mutable std::map<std::string, std::set<VmId>> delegates;
   /** Instants before the latest read was sent and after it was answered, and the store's time in
       between. */
   Instant readSentAt{};
--- a/packages/proxy/coordination/TableFollower.h
+++ b/packages/proxy/coordination/TableFollower.h
@@ -60,8 +60,9 @@
   /** Starts with a read of the whole table. Precondition: called once. */
   void Start(Instant aNow) { this->ReadWhole(aNow); }
 
-  /** Sets how long the store may hold a watch, from the next one on. */
-  void SetWait(Duration aWait) { this->wait = aWait; }
+  /** Sets what tells whether the copy is known to be current by other means. No watch is sent then.
+   */
+  void SetRest(std::function<bool(Instant)> aMayRest) { this->mayRest = std::move(aMayRest); }
 
 private:
   void ReadWhole(Instant aNow)
@@ -74,6 +75,10 @@
 
   void Watch(Instant aNow)
   {
+    if (this->mayRest && this->mayRest(aNow)) {
+      this->scheduler.Schedule(aNow + kRestPeriod, [this](Instant aThen) { this->Watch(aThen); });
+      return;
+    }
     this->store.Watch(
       this->table, this->version, this->wait, [this, aNow](Instant aThen, auto aRows) {
         this->OnAnswer(aThen, aNow, std::move(aRows), this->handlers.changes);
@@ -130,6 +135,8 @@
                              });
   }
 
+  /** Period at which a follower that sends no watch looks whether it has to. */
+  static constexpr Duration kRestPeriod = std::chrono::milliseconds(100);
   static constexpr int kMostDoublings = 4;
   /** Pause before the whole read after a lost history; keeps a store that loses it again and again
       from being asked without end. */
@@ -141,6 +148,7 @@
   std::string table;
   Duration wait;
   Handlers handlers;
+  std::function<bool(Instant)> mayRest;
   /** Version of the copy. */
   std::uint64_t version = 0;
   /** Latest version that the store has shown. */
--- a/packages/proxy/position/PositionExchange.h
+++ b/packages/proxy/position/PositionExchange.h
@@ -2,6 +2,7 @@
 
 #include "core/base/Instant.h"
 #include "core/base/Names.h"
+#include "proxy/coordination/ChooseDelegates.h"
 #include "proxy/coordination/FleetView.h"
 #include "proxy/position/PositionMessage.h"
 #include "proxy/rate/PeerMessenger.h"
@@ -11,6 +12,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -73,7 +75,7 @@
     }
     if (search.number == 0 || aNow - search.sentAt >= kAnswerTime) {
       search.failures += search.number != 0 ? 1 : 0;
-      this->Ask(aNow, aGroup, search, probers);
+      this->Ask(aNow, aGroup, search);
     }
     return search.failures >= kMostFailures;
   }
@@ -105,42 +107,35 @@
     std::size_t asked = 0;
   };
 
-  void Ask(Instant aNow,
-           const DatabaseName& aGroup,
-           Search& aSearch,
-           const std::set<VmId>& aProbers)
+  void Ask(Instant aNow, const DatabaseName& aGroup, Search& aSearch)
   {
-    std::vector<VmId> order(aProbers.begin(), aProbers.end());
-    std::stable_partition(order.begin(), order.end(), [this](const VmId& aVm) {
-      return this->fleet.DomainOf(aVm) == this->domain;
-    });
+    const std::vector<VmId> probers = this->fleet.DelegatesByDistance(aGroup.Text(), this->domain);
     // While answers come, those of the own failure domain are asked by turns.
-    const std::size_t near = std::min(order.size(), kDelegatesPerDomain);
-    const VmId& prober =
-      order[aSearch.failures == 0 ? aSearch.asked % near : aSearch.asked % order.size()];
+    const std::size_t choice =
+      aSearch.failures == 0 ? std::min(probers.size(), kDelegatesPerDomain) : probers.size();
+    const VmId& prober = probers[aSearch.asked % choice];
     ++aSearch.asked;
     aSearch.number = ++this->lastNumber;
     aSearch.sentAt = aNow;
-    const auto member = this->fleet.Members().find(prober);
-    if (member != this->fleet.Members().end() && !member->second.row.peerAddress.empty()) {
-      this->messenger.Send(member->second.row.peerAddress,
-                           EncodePositionMessage(PositionRequest{
-                             this->self, this->incarnation, aSearch.number, aGroup }));
+    this->Send(prober, PositionRequest{ this->self, this->incarnation, aSearch.number, aGroup });
+  }
+
+  void Send(const VmId& aVm, const PositionMessage& aMessage)
+  {
+    const std::string address = this->fleet.PeerAddressOf(aVm);
+    if (!address.empty()) {
+      this->messenger.Send(address, EncodePositionMessage(aMessage));
     }
   }
 
   void OnRequest(Instant aNow, const PositionRequest& aRequest)
   {
-    const auto member = this->fleet.Members().find(aRequest.sender);
-    const auto latest = this->positions.Latest(aRequest.group);
-    if (!latest || member == this->fleet.Members().end() ||
-        member->second.row.peerAddress.empty()) {
-      return;
+    if (const auto latest = this->positions.Latest(aRequest.group)) {
+      this->Send(
+        aRequest.sender,
+        PositionAnswer{
+          aRequest.incarnation, aRequest.number, latest->position, aNow - latest->sentAt });
     }
-    this->messenger.Send(
-      member->second.row.peerAddress,
-      EncodePositionMessage(PositionAnswer{
-        aRequest.incarnation, aRequest.number, latest->position, aNow - latest->sentAt }));
   }
 
   void OnAnswer(const PositionAnswer& aAnswer)
--- a/packages/proxy/tests/FleetHistoryTest.cpp
+++ b/packages/proxy/tests/FleetHistoryTest.cpp
@@ -1,11 +1,13 @@
 #include "proxy/tests/FleetSimulation.h"
 #include "support/Section.h"
 
+#include <algorithm>
 #include <chrono>
 #include <cppunit/extensions/HelperMacros.h>
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace mustardshift::proxy {
@@ -35,6 +37,7 @@
   CPPUNIT_TEST(RatesHoldInSeededHistories);
   CPPUNIT_TEST(ReadsSeeAcknowledgedWritesInSeededHistories);
   CPPUNIT_TEST(LargeFleetsSpareThePrimaries);
+  CPPUNIT_TEST(ChangesReachAllVmsOfALargeFleet);
   CPPUNIT_TEST(LargeFleetsMakeFewerCallsAVm);
   CPPUNIT_TEST(ServesAgainAfterAllProcessesWereKilled);
   CPPUNIT_TEST_SUITE_END();
@@ -333,30 +336,61 @@
   void WithdrawnKeysStopOnVmsThatAreCutOff()
   {
     for (unsigned seed = 1; seed <= 10; ++seed) {
-      FleetSimulation fleet(4, seed);
+      this->RunKeyHistory(seed, 4, 1);
+    }
+    Section("also in a large fleet, whose VMs confirm the configuration to each other", [&] {
+      for (unsigned seed = 1; seed <= 6; ++seed) {
+        this->RunKeyHistory(seed, 20, 400);
+      }
+    });
+  }
+
+  /** Most VMs of a large fleet don't watch the operators' table. */
+  void ChangesReachAllVmsOfALargeFleet()
+  {
+    FleetSimulation fleet(40, 64);
+    const auto countServed = [&](const std::string& aKey) {
+      std::size_t served = 0;
+      for (std::size_t vm = 0; vm < fleet.vms.size(); ++vm) {
+        fleet.Ask(vm, "board", aKey, "READ slot-1", [&](Instant, const ClientReply& aReply) {
+          served += aReply.error ? 0 : 1;
+        });
+      }
+      fleet.Advance(milliseconds(500));
+      return served;
+    };
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), countServed("key-red"));
+    fleet.Configure({ "key-green=green", "key-red=red" });
+    fleet.Advance(milliseconds(2500));
+    Section("a new key works everywhere within 3 s",
+            [&] { CPPUNIT_ASSERT(countServed("key-red") > 35); });
+    Section("and one that was withdrawn works nowhere",
+            [&] { CPPUNIT_ASSERT_EQUAL(std::size_t(0), countServed("key-blue")); });
+    Section("a failure domain that is taken out, and back", [&] {
+      const auto readyAtAll = [&](std::size_t aCount) {
+        return std::all_of(fleet.vms.begin(), fleet.vms.end(), [&](const auto& aVm) {
+          return aVm.proxy->Cluster().ReadyServers(DatabaseName("fittings")).size() == aCount;
+        });
+      };
+      fleet.store.Put("operators", "evacuate-domain-s3", "{}");
+      fleet.Advance(milliseconds(2500));
+      CPPUNIT_ASSERT(readyAtAll(2));
+      fleet.store.Remove("operators", "evacuate-domain-s3");
+      fleet.Advance(milliseconds(2500));
+      CPPUNIT_ASSERT(readyAtAll(3));
+    });
+    Section("the others watch themselves while those who do don't reach the store", [&] {
+      const std::set<VmId> watchers = fleet.vms[0].proxy->Fleet().Delegates("configuration");
       for (auto& vm : fleet.vms) {
-        vm.store->isCut = fleet.random() % 3 == 0;
-        // The lease on the rate shares goes on; only the configuration is not heard of.
-        vm.store->silentTable = fleet.random() % 2 == 0 ? "operators" : "";
+        vm.store->isCut = watchers.contains(VmId(vm.name));
       }
-      fleet.Advance(milliseconds(fleet.random() % 3000));
-      fleet.Configure({ "key-green=green" });
-      const Instant withdrawnAt = fleet.now;
-      while (fleet.now - withdrawnAt < seconds(12)) {
-        const Instant sentAt = fleet.now;
-        for (std::size_t vm = 0; vm < fleet.vms.size(); ++vm) {
-          if (fleet.random() % 200 == 0) {
-            fleet.Restart(vm);
-          }
-          fleet.Ask(
-            vm, "bookings", "key-blue", "READ slot-1", [&](Instant, const ClientReply& aReply) {
-              CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(seed),
-                                     aReply.error || sentAt - withdrawnAt <= seconds(5));
-            });
-        }
+      for (int step = 0; step < 80; ++step) {
         fleet.Advance(milliseconds(100));
+        for (const auto& vm : fleet.vms) {
+          CPPUNIT_ASSERT(vm.store->isCut || vm.proxy->Cluster().IsTrusted(fleet.now));
+        }
       }
-    }
+    });
   }
 
   void RatesHoldInSeededHistories()
@@ -439,7 +473,7 @@
     });
     Section("VMs whose messages get no answer ask the primary themselves", [&] {
       FleetSimulation other(20, 61);
-      other.losesPositionMessages = true;
+      other.losesReports = true;
       other.Advance(seconds(3));
       const std::size_t before = other.network.runs.size();
       for (std::size_t vm = 0; vm < other.vms.size(); ++vm) {
@@ -502,10 +536,38 @@
   }
 
 private:
-  void RunReadHistory(unsigned aSeed, std::size_t aVms, unsigned aLongestPositionDelayMs)
+  void RunKeyHistory(unsigned aSeed, std::size_t aVms, unsigned aLongestReportDelayMs)
+  {
+    FleetSimulation fleet(aVms, aSeed);
+    fleet.longestReportDelayMs = aLongestReportDelayMs;
+    for (auto& vm : fleet.vms) {
+      vm.store->isCut = fleet.random() % 3 == 0;
+      // The lease on the rate shares goes on; only the configuration is not heard of.
+      vm.store->silentTable = fleet.random() % 2 == 0 ? "operators" : "";
+    }
+    fleet.Advance(milliseconds(fleet.random() % 3000));
+    fleet.Configure({ "key-green=green" });
+    const Instant withdrawnAt = fleet.now;
+    while (fleet.now - withdrawnAt < seconds(12)) {
+      const Instant sentAt = fleet.now;
+      for (std::size_t vm = 0; vm < fleet.vms.size(); ++vm) {
+        if (fleet.random() % 200 == 0) {
+          fleet.Restart(vm);
+        }
+        fleet.Ask(
+          vm, "bookings", "key-blue", "READ slot-1", [&](Instant, const ClientReply& aReply) {
+            CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(aSeed),
+                                   aReply.error || sentAt - withdrawnAt <= seconds(5));
+          });
+      }
+      fleet.Advance(milliseconds(100));
+    }
+  }
+
+  void RunReadHistory(unsigned aSeed, std::size_t aVms, unsigned aLongestReportDelayMs)
   {
     FleetSimulation fleet(aVms, aSeed);
-    fleet.longestPositionDelayMs = aLongestPositionDelayMs;
+    fleet.longestReportDelayMs = aLongestReportDelayMs;
     /** Acknowledged commits that no promotion has cut off, and when they were. */
     std::deque<std::pair<Instant, LogPosition>> acknowledged;
     std::size_t checked = 0;
--- a/packages/proxy/tests/FleetSimulation.cpp
+++ b/packages/proxy/tests/FleetSimulation.cpp
@@ -168,12 +168,12 @@
     });
   };
   this->messenger.deliver = [this](const std::string& aAddress, const std::string& aBytes) {
-    const bool isAboutPositions = DecodePositionMessage(aBytes).has_value();
-    if (isAboutPositions && this->losesPositionMessages) {
+    const bool isReport =
+      DecodePositionMessage(aBytes).has_value() || DecodeConfirmationMessage(aBytes).has_value();
+    if (isReport && this->losesReports) {
       return;
     }
-    const milliseconds delay(
-      1 + (isAboutPositions ? this->random() % this->longestPositionDelayMs : 0));
+    const milliseconds delay(1 + (isReport ? this->random() % this->longestReportDelayMs : 0));
     this->scheduler.Schedule(this->now + delay, [this, aAddress, aBytes](Instant aNow) {
       for (Vm& vm : this->vms) {
         if (vm.name == aAddress) {
--- a/packages/proxy/tests/FleetSimulation.h
+++ b/packages/proxy/tests/FleetSimulation.h
@@ -142,9 +142,9 @@
   EventLog log{ [this](std::string aLine) { this->lines.push_back(std::move(aLine)); }, 1e9 };
   std::vector<Vm> vms;
   std::set<std::string> crashed;
-  /** Datagrams about positions take up to so long; others take 1 ms. */
-  unsigned longestPositionDelayMs = 1;
-  bool losesPositionMessages = false;
+  /** Datagrams about positions and confirmations take up to so long; others take 1 ms. */
+  unsigned longestReportDelayMs = 1;
+  bool losesReports = false;
 
 private:
   void Start(Vm& aVm);
