Remove the rows of VMs that are gone from the fleet's table

Nothing removed a row, and each VM reads the whole table every 1.5 to 2.4 s. Change: the first VM that runs removes a row that has not changed for 60 s, under its version, one a read. A VM that comes back writes its row again. Tests: FleetHistoryTest::RowsOfVmsThatAreGoneAreRemoved; the store's contract has conditional removals.

--- a/packages/proxy/coordination/FleetCoordinator.h
+++ b/packages/proxy/coordination/FleetCoordinator.h
@@ -227,6 +227,7 @@
       this->RenewAgain(aNow);
     }
     this->PlanRates(aNow);
+    this->RemoveStopped(aNow);
     this->onRead(aNow);
   }
 
@@ -320,6 +321,23 @@
     this->buckets.SetLease(this->leaseUntil);
   }
 
+  /** Removes the row of a VM that is gone, one a read; rows of replaced VMs would add up. */
+  void RemoveStopped(Instant aNow)
+  {
+    const std::optional<VmId> stopped = this->fleet.StoppedForLong();
+    const std::vector<VmId> fresh = this->fleet.FreshMembers();
+    if (!stopped || fresh.empty() || fresh.front() != this->self) {
+      return;
+    }
+    this->log.WriteAlways(aNow, "fleet", "row-removed", { { "vm", stopped->Text() } });
+    this->store.Write(RowChange{ std::string(FleetView::kTable),
+                                 FleetView::MemberKey(*stopped),
+                                 std::nullopt,
+                                 this->fleet.Members().at(*stopped).version },
+                      // Whatever became of it shows in the next read.
+                      [](Instant, auto) {});
+  }
+
   void PlanRates(Instant aNow)
   {
     const std::vector<VmId> fresh = this->fleet.FreshMembers();
--- a/packages/proxy/coordination/FleetView.cpp
+++ b/packages/proxy/coordination/FleetView.cpp
@@ -112,6 +112,15 @@
   return successors;
 }
 
+std::optional<VmId> FleetView::StoppedForLong() const
+{
+  const auto found =
+    std::find_if(this->members.begin(), this->members.end(), [this](const auto& aEntry) {
+      return this->readSentAt - aEntry.second.seenSince >= kForgetAfter;
+    });
+  return found == this->members.end() ? std::nullopt : std::optional(found->first);
+}
+
 bool FleetView::IsNearDuty(const VmId& aVm) const
 {
   if (this->duty && this->duty->holder == aVm) {
--- a/packages/proxy/coordination/FleetView.h
+++ b/packages/proxy/coordination/FleetView.h
@@ -49,6 +49,10 @@
   /** The opinion of a VM counts while its row is younger than this: three renewals. */
   static constexpr Duration kFreshFor = std::chrono::milliseconds(4500);
 
+  /** The row of a VM that has not changed for this long is removed; a VM that still runs writes it
+      again. Longer than any outage of the store's that VMs live through. */
+  static constexpr Duration kForgetAfter = std::chrono::seconds(60);
+
   static constexpr std::string_view kTable = "fleet";
   static constexpr std::string_view kAllocationKey = "allocation";
   static constexpr std::string_view kDutyKey = "duty-promotion";
@@ -86,6 +90,8 @@
   void SetDuty(DutyRow aDuty, std::uint64_t aRowVersion);
 
   bool HasLapsed(const VmId& aVm) const { return this->IsUnchangedFor(aVm, kLapseAfter); }
+  /** A VM whose row may be removed, or nothing. */
+  std::optional<VmId> StoppedForLong() const;
   /** Whether a VM holds the promotion duty or is one of the first that would take it over. */
   bool IsNearDuty(const VmId& aVm) const;
   /** Whether a VM's row has changed within kFreshFor. */
--- a/packages/proxy/coordination/StoredRow.h
+++ b/packages/proxy/coordination/StoredRow.h
@@ -27,12 +27,13 @@
   std::optional<std::chrono::milliseconds> storeTime;
 };
 
-/** A write of one row. */
+/** A write or a removal of one row. */
 struct RowChange
 {
   std::string table;
   std::string key;
-  std::string value;
+  /** Nothing removes the row. */
+  std::optional<std::string> value;
   /** Version that the row must have; 0 when it must not exist; nothing for any. */
   std::optional<std::uint64_t> expectedVersion;
 };
--- a/packages/proxy/coordination/TableStore.h
+++ b/packages/proxy/coordination/TableStore.h
@@ -13,7 +13,7 @@
 namespace mustardshift::proxy {
 
 using RowsHandler = std::function<void(Instant, tl::expected<StoredRows, StoreFailure>)>;
-/** Gets the version of the written row. */
+/** Gets the version of the change. */
 using ChangeHandler = std::function<void(Instant, tl::expected<std::uint64_t, StoreFailure>)>;
 
 /** The platform's table store. Calls may overlap; each handler is called exactly once, never from
--- a/packages/proxy/tests/FakeStore.cpp
+++ b/packages/proxy/tests/FakeStore.cpp
@@ -146,7 +146,8 @@
     this->AnswerLater(kAnswerTime, aHandler, Result(tl::unexpected(StoreFailure::Conflict)));
     return;
   }
-  this->Change(aChange.table, { aChange.key, aChange.value, 0, false });
+  this->Change(aChange.table,
+               { aChange.key, aChange.value.value_or(std::string()), 0, !aChange.value });
   if (what == StoreConduct::LoseAnswer) {
     this->AnswerLater(kNoAnswerTime, aHandler, Result(tl::unexpected(StoreFailure::NoAnswer)));
     return;
--- a/packages/proxy/tests/FleetHistoryTest.cpp
+++ b/packages/proxy/tests/FleetHistoryTest.cpp
@@ -38,6 +38,7 @@
   CPPUNIT_TEST(ReadsSeeAcknowledgedWritesInSeededHistories);
   CPPUNIT_TEST(LargeFleetsSpareThePrimaries);
   CPPUNIT_TEST(ChangesReachAllVmsOfALargeFleet);
+  CPPUNIT_TEST(RowsOfVmsThatAreGoneAreRemoved);
   CPPUNIT_TEST(LargeFleetsMakeFewerCallsAVm);
   CPPUNIT_TEST(ServesAgainAfterAllProcessesWereKilled);
   CPPUNIT_TEST_SUITE_END();
@@ -486,6 +487,29 @@
     });
   }
 
+  /** 430 VMs are replaced a day; their rows would fill every read of the table. */
+  void RowsOfVmsThatAreGoneAreRemoved()
+  {
+    FleetSimulation fleet(6, 65);
+    fleet.vms[4].store->isCut = true;
+    fleet.Kill(5);
+    fleet.Advance(seconds(30));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(6), fleet.vms[0].proxy->Fleet().Members().size());
+    fleet.Advance(seconds(40));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(4), fleet.vms[0].proxy->Fleet().Members().size());
+    Section("a VM that comes back is a member again", [&] {
+      fleet.vms[4].store->isCut = false;
+      fleet.Advance(seconds(10));
+      CPPUNIT_ASSERT_EQUAL(std::size_t(5), fleet.vms[0].proxy->Fleet().Members().size());
+      bool isServed = false;
+      fleet.Ask(4, "board", "key-blue", "READ slot-1", [&](Instant, const ClientReply& aReply) {
+        isServed = !aReply.error;
+      });
+      fleet.Advance(seconds(1));
+      CPPUNIT_ASSERT(isServed);
+    });
+  }
+
   /** Each call to the store has its price, and the store's rates are shared by all VMs. */
   void LargeFleetsMakeFewerCallsAVm()
   {
--- a/tests/contracts/TableStoreContract.h
+++ b/tests/contracts/TableStoreContract.h
@@ -27,6 +27,7 @@
     Section("a read shows the rows and the version", [&] { this->CheckRead(); });
     Section("a write under a version fails when the row has another one",
             [&] { this->CheckConditionalWrites(); });
+    Section("so does a removal", [&] { this->CheckConditionalRemoval(); });
     Section("a watch shows what has changed, removals included", [&] { this->CheckWatch(); });
     Section("a watch without changes ends with an empty answer", [&] { this->CheckQuietWatch(); });
     Section("a watch from before the history fails as such", [&] { this->CheckLostHistory(); });
@@ -91,6 +92,19 @@
     CPPUNIT_ASSERT_EQUAL(std::string("d"), this->Read("things").rows.at(1).value);
   }
 
+  void CheckConditionalRemoval()
+  {
+    const auto first = this->Write({ "removals", "k", "a", 0 });
+    CPPUNIT_ASSERT(first.has_value());
+    const auto second = this->Write({ "removals", "k", "b", *first });
+    CPPUNIT_ASSERT(second.has_value());
+    CPPUNIT_ASSERT(this->Write({ "removals", "k", std::nullopt, *first }).error() ==
+                   StoreFailure::Conflict);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), this->Read("removals").rows.size());
+    CPPUNIT_ASSERT(this->Write({ "removals", "k", std::nullopt, *second }).has_value());
+    CPPUNIT_ASSERT(this->Read("removals").rows.empty());
+  }
+
   void CheckWatch()
   {
     const std::uint64_t before = this->Read("things").version;
