Serve sooner after the store returns

A failed read of the fleet's table or a failed renewal was repeated after a whole period, the watches paused for up to 1 s, and the first watch after that was held for 0.8 s before it confirmed anything. Change: failed reads and renewals are repeated after 0.5 s, watches pause for at most 0.5 s, and the first watch after a failure asks for an answer at once. Test: FleetHistoryTest::ServesSoonAfterTheStoreReturns, failing before and with each part alone.

--- a/packages/proxy/coordination/FleetCoordinator.h
+++ b/packages/proxy/coordination/FleetCoordinator.h
@@ -37,6 +37,8 @@
   static constexpr Duration kLargeFleetPeriod = std::chrono::milliseconds(2400);
   /** Period of renewals by the holder of the promotion duty, so that it is missed soon. */
   static constexpr Duration kHolderPeriod = std::chrono::milliseconds(500);
+  /** Pause after a read that failed. */
+  static constexpr Duration kRetryPause = std::chrono::milliseconds(500);
   /** Period of reads while a primary has to be replaced. */
   static constexpr Duration kUrgentPeriod = std::chrono::milliseconds(300);
   /** Least time between two divisions of the rates. A move costs tokens at the VM that gives parts
@@ -167,12 +169,20 @@
       this->scheduler.Schedule(aWhen, [this](Instant aThen) { this->ReadAgain(aThen); });
   }
 
-  /** Brings the next read forward when the period has become shorter. */
-  void HastenRead(Instant aNow)
+  /** Brings the next read forward if it is due later. */
+  void ReadWithin(Instant aNow, Duration aTime)
   {
-    if (this->hasRead && this->nextReadAt > aNow + this->ReadPeriod()) {
+    if (this->nextReadAt > aNow + aTime) {
       this->scheduler.Cancel(this->nextRead);
-      this->ScheduleRead(aNow + this->ReadPeriod());
+      this->ScheduleRead(aNow + aTime);
+    }
+  }
+
+  /** The same after a change that may have made the period shorter. */
+  void HastenRead(Instant aNow)
+  {
+    if (this->hasRead) {
+      this->ReadWithin(aNow, this->ReadPeriod());
     }
   }
 
@@ -187,6 +197,7 @@
                       "fleet",
                       "read-failed",
                       { { "failure", std::string(NameOf(kStoreFailureNames, aRows.error())) } });
+      this->ReadWithin(aNow, kRetryPause);
       return;
     }
     if (aSentAt < this->latestRead) {
@@ -303,6 +314,8 @@
                       "fleet",
                       "renewal-failed",
                       { { "failure", std::string(NameOf(kStoreFailureNames, aVersion.error())) } });
+      // Tried again at the next occasion.
+      this->renewedAt = Instant{};
       return;
     }
     this->latestVersion = std::max(this->latestVersion, *aVersion);
--- a/packages/proxy/coordination/TableFollower.h
+++ b/packages/proxy/coordination/TableFollower.h
@@ -35,7 +35,7 @@
 
   /** Pauses after failures: doubled from the first to the last. */
   static constexpr Duration kFirstPause = std::chrono::milliseconds(200);
-  static constexpr Duration kLastPause = std::chrono::milliseconds(1000);
+  static constexpr Duration kLastPause = std::chrono::milliseconds(500);
 
   /** @param aWait  how long the store may hold a watch that has nothing to report.
       aStore, aScheduler and aLog have to outlive the follower. */
@@ -79,10 +79,11 @@
       this->scheduler.Schedule(aNow + kRestPeriod, [this](Instant aThen) { this->Watch(aThen); });
       return;
     }
-    this->store.Watch(
-      this->table, this->version, this->wait, [this, aNow](Instant aThen, auto aRows) {
-        this->OnAnswer(aThen, aNow, std::move(aRows), this->handlers.changes);
-      });
+    // After a failure the answer is wanted at once: it confirms the copy.
+    const Duration longest = this->failures > 0 ? Duration(0) : this->wait;
+    this->store.Watch(this->table, this->version, longest, [this, aNow](Instant aThen, auto aRows) {
+      this->OnAnswer(aThen, aNow, std::move(aRows), this->handlers.changes);
+    });
   }
 
   template<class Handler>
--- a/packages/proxy/tests/FleetHistoryTest.cpp
+++ b/packages/proxy/tests/FleetHistoryTest.cpp
@@ -40,6 +40,7 @@
   CPPUNIT_TEST(ChangesReachAllVmsOfALargeFleet);
   CPPUNIT_TEST(RowsOfVmsThatAreGoneAreRemoved);
   CPPUNIT_TEST(LargeFleetsMakeFewerCallsAVm);
+  CPPUNIT_TEST(ServesSoonAfterTheStoreReturns);
   CPPUNIT_TEST(ServesAgainAfterAllProcessesWereKilled);
   CPPUNIT_TEST_SUITE_END();
 
@@ -520,6 +521,24 @@
     });
   }
 
+  /** A process that started while the store was away waited a whole period after its return, as did
+      those whose leases had ended. */
+  void ServesSoonAfterTheStoreReturns()
+  {
+    for (int phase = 0; phase < 15; ++phase) {
+      FleetSimulation fleet(4, 70 + static_cast<unsigned>(phase));
+      fleet.store.conduct = [](const std::string&) { return test::StoreConduct::Refuse; };
+      fleet.Restart(1);
+      fleet.Advance(milliseconds(6000 + 100 * phase));
+      fleet.store.conduct = nullptr;
+      fleet.Advance(milliseconds(800));
+      for (const auto& vm : fleet.vms) {
+        CPPUNIT_ASSERT_MESSAGE(vm.name + " phase " + std::to_string(phase),
+                               vm.proxy->IsReady(fleet.now));
+      }
+    }
+  }
+
   void ServesAgainAfterAllProcessesWereKilled()
   {
     FleetSimulation fleet(6, 9);
