Take a server for unreachable after 0.4 s

Change: 0.3 s, 0.2 s and 0.4 s. BEGIN, which is asked for, needs no slot of the server, so load doesn't delay it, and most of those who ask have to agree. Test: the bound of FleetHistoryTest::ADeadPrimaryIsReplacedSoonAtAnyPhaseOfTheReads stays.

--- a/packages/proxy/pool/ServerHealth.h
+++ b/packages/proxy/pool/ServerHealth.h
@@ -15,7 +15,7 @@
 public:
   /** A server counts as unreachable after this long without an answer, and
       kLeastFailures failed attempts. Longer than a slow statement, to keep a loaded server. */
-  static constexpr Duration kUnreachableAfter = std::chrono::milliseconds(600);
+  static constexpr Duration kUnreachableAfter = std::chrono::milliseconds(400);
   static constexpr unsigned kLeastFailures = 2;
 
   /** Notes that the server answered something, whatever it said. */
--- a/packages/proxy/promotion/PrimaryProber.h
+++ b/packages/proxy/promotion/PrimaryProber.h
@@ -25,9 +25,9 @@
 public:
   /** A primary is asked when no position of it is younger than this; well below the bounds on age
       that routes have. */
-  static constexpr Duration kQuietTime = std::chrono::milliseconds(400);
+  static constexpr Duration kQuietTime = std::chrono::milliseconds(300);
   /** Answers that take longer count as failures. */
-  static constexpr Duration kAnswerTime = std::chrono::milliseconds(300);
+  static constexpr Duration kAnswerTime = std::chrono::milliseconds(200);
 
   /** All arguments have to outlive the prober. */
   PrimaryProber(ServerPool<Network>& aPool,
