--- a/packages/proxy/tests/FakeNetwork.cpp
+++ b/packages/proxy/tests/FakeNetwork.cpp
@@ -217,7 +217,7 @@
   ++this->opened;
   FakeServer& server = this->servers.at(aTarget.server);
   const Instant end = server.isDark ? this->now + Duration(std::chrono::milliseconds(500))
-                                    : server.Occupy(this->now, kOpenTime);
+                                    : server.Occupy(this->now, this->openTime);
   this->scheduler.Schedule(
     end, [this, &server, target = aTarget, handler = std::move(aHandler)](Instant aNow) {
       ServerReply reply;
--- a/packages/proxy/tests/FakeNetwork.h
+++ b/packages/proxy/tests/FakeNetwork.h
@@ -134,6 +134,8 @@
   /** Breaks all open connections of a server. */
   void BreakConnections(Instant aNow, const std::string& aId);
 
+  /** How long a server takes for a new connection. */
+  Duration openTime = kOpenTime;
   std::vector<RunRecord> runs;
   std::size_t opened = 0;
   Instant now{};
--- a/packages/proxy/tests/ServerPoolTest.cpp
+++ b/packages/proxy/tests/ServerPoolTest.cpp
@@ -21,6 +21,7 @@
 {
   CPPUNIT_TEST_SUITE(ServerPoolTest);
   CPPUNIT_TEST(ManyOrganisationsShareFewConnections);
+  CPPUNIT_TEST(RecoversFromABacklogThatCostsConnections);
   CPPUNIT_TEST(NoOrganisationIsShutOut);
   CPPUNIT_TEST(KeepsItsPartOfTheConnections);
   CPPUNIT_TEST(LargeFleetsMakeRoomForEachOther);
@@ -52,6 +53,23 @@
     });
   }
 
+  /** After a promotion all connections are new and a backlog waits. If each statement replaced
+     another organisation's connection, openings alone would fill the server's slots, and the
+     backlog stayed. */
+  void RecoversFromABacklogThatCostsConnections()
+  {
+    Load load;
+    load.fixture.network.openTime = milliseconds(27);
+    load.fixture.network.Server("s1").work = milliseconds(3);
+    load.fixture.network.Server("s1").slots = { load.fixture.now + seconds(1),
+                                                load.fixture.now + seconds(1) };
+    load.Run(seconds(3), 140);
+    load.served = load.asked = 0;
+    load.Run(seconds(10), 140);
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(load.served) + " of " + std::to_string(load.asked),
+                           load.served > 0.98 * load.asked);
+  }
+
   /** One organisation alone asks for nearly all that three connections can carry. */
   void NoOrganisationIsShutOut()
   {
