Ask replicas that were unreachable again

A replica to which two attempts had failed was left out until some answer came, and nobody asked it any more; only primaries were. Change: the prober also opens and rolls back an empty read-only transaction at replicas that the VM takes for unreachable, every 0.5 s.

--- a/packages/proxy/SessionProxy.h
+++ b/packages/proxy/SessionProxy.h
@@ -13,8 +13,8 @@
 #include "proxy/pool/ServerHealth.h"
 #include "proxy/pool/ServerPool.h"
 #include "proxy/position/PositionExchange.h"
-#include "proxy/promotion/PrimaryProber.h"
 #include "proxy/promotion/PromotionDriver.h"
+#include "proxy/promotion/ServerProber.h"
 #include "proxy/rate/OrganisationBuckets.h"
 #include "proxy/rate/TokenExchange.h"
 #include "proxy/rate/TokenGate.h"
@@ -346,7 +346,7 @@
     this->cluster.ForgetOldRefusals(aNow);
     this->confirmationExchange.Step(aNow);
     this->prober.Step(aNow, [&](const DatabaseName& aGroup) {
-      return this->positionExchange.Fetch(aNow, aGroup, PrimaryProber<Network>::kQuietTime);
+      return this->positionExchange.Fetch(aNow, aGroup, ServerProber<Network>::kQuietTime);
     });
     this->coordinator.SetUnreachable(aNow, this->prober.UnreachablePrimaries(aNow));
     this->coordinator.SetUrgent(aNow, this->driver.HasWork(aNow));
@@ -366,7 +366,7 @@
   OrganisationBuckets buckets;
   FleetView fleet;
   ServerPool<Network> pool;
-  PrimaryProber<Network> prober;
+  ServerProber<Network> prober;
   PromotionDriver<Network, Store, Orders> driver;
   TokenGate gate;
   TokenExchange<Messenger> exchange;
--- a/packages/proxy/promotion/PrimaryProber.h
+++ b/packages/proxy/promotion/ServerProber.h
@@ -15,12 +15,13 @@
 
 namespace mustardshift::proxy {
 
-/** Opens and rolls back an empty transaction at primaries that have answered nothing lately. That
-    costs a server no slot, and gives a log position that proves where the primary is.
+/** Opens and rolls back an empty transaction at servers that have answered nothing lately, which
+   costs a server no slot. At a primary it gives a log position that proves where the primary is. At
+   a replica that this VM takes for unreachable it shows when reads may go there again.
 
     Thread safety: none; one thread owns the object. */
 template<DatabaseNetwork Network>
-class PrimaryProber
+class ServerProber
 {
 public:
   /** A primary is asked when no position of it is younger than this; well below the bounds on age
@@ -30,11 +31,11 @@
   static constexpr Duration kAnswerTime = std::chrono::milliseconds(200);
 
   /** All arguments have to outlive the prober. */
-  PrimaryProber(ServerPool<Network>& aPool,
-                ClusterState& aCluster,
-                ServerHealth& aHealth,
-                PositionTable& aPositions,
-                Scheduler& aScheduler)
+  ServerProber(ServerPool<Network>& aPool,
+               ClusterState& aCluster,
+               ServerHealth& aHealth,
+               PositionTable& aPositions,
+               Scheduler& aScheduler)
     : pool(aPool)
     , cluster(aCluster)
     , health(aHealth)
@@ -42,22 +43,26 @@
     , scheduler(aScheduler)
   {
   }
-  PrimaryProber(const PrimaryProber&) = delete;
-  PrimaryProber& operator=(const PrimaryProber&) = delete;
-  ~PrimaryProber() = default;
+  ServerProber(const ServerProber&) = delete;
+  ServerProber& operator=(const ServerProber&) = delete;
+  ~ServerProber() = default;
+
+  /** A replica that is taken for unreachable is asked again after this time. */
+  static constexpr Duration kReplicaPause = std::chrono::milliseconds(500);
 
   /** Starts the probes that are due.
       @param aIsMine  tells whether this VM has to ask a group's primary. */
   void Step(Instant aNow, const std::function<bool(const DatabaseName&)>& aIsMine)
   {
+    this->ProbeReplicas(aNow);
     for (const auto& [group, limit] : this->cluster.Configuration().connectionLimits) {
       const auto primary = this->cluster.PrimaryOf(group);
       const auto last = this->positions.LastObserved(group);
-      if (!primary || !aIsMine(group) || this->running.contains(group) ||
+      if (!primary || !aIsMine(group) || this->running.contains(*primary) ||
           (last && aNow - *last < kQuietTime)) {
         continue;
       }
-      this->Probe(aNow, group, *primary);
+      this->Probe(aNow, group, *primary, ServerCommandKind::Begin);
     }
   }
 
@@ -75,40 +80,63 @@
   }
 
 private:
-  void Probe(Instant aNow, const DatabaseName& aGroup, const ServerId& aPrimary)
+  void ProbeReplicas(Instant aNow)
+  {
+    for (const auto& [id, server] : this->cluster.Servers()) {
+      const auto asked = this->replicasAskedAt.find(id);
+      const bool isDue =
+        asked == this->replicasAskedAt.end() || aNow - asked->second >= kReplicaPause;
+      if (isDue && this->health.IsUnreachable(id, aNow) && !this->running.contains(id) &&
+          this->cluster.PrimaryOf(server.group) != id && !this->cluster.LeavingSince(id)) {
+        this->replicasAskedAt[id] = aNow;
+        this->Probe(aNow, server.group, id, ServerCommandKind::BeginReadOnly);
+      }
+    }
+    std::erase_if(this->replicasAskedAt, [this](const auto& aEntry) {
+      return this->cluster.Find(aEntry.first) == nullptr;
+    });
+  }
+
+  void Probe(Instant aNow,
+             const DatabaseName& aGroup,
+             const ServerId& aServer,
+             ServerCommandKind aBegin)
   {
-    this->running.insert(aGroup);
+    this->running.insert(aServer);
     const auto& limits = this->cluster.Configuration().limits;
-    const auto idle = this->pool.IdleOrganisation(aPrimary);
+    const auto idle = this->pool.IdleOrganisation(aServer);
     ConnectionRequest<Network> request;
     request.organisation =
       idle ? *idle : (limits.empty() ? OrganisationName() : limits.begin()->first);
-    request.candidates = { { aPrimary, 0 } };
+    request.candidates = { { aServer, 0 } };
     request.giveUpAt = aNow + kAnswerTime;
-    request.handler = [this, aGroup, aPrimary, aNow](Instant aThen,
-                                                     PooledConnection<Network>* aConnection) {
-      if (aConnection != nullptr) {
-        this->Run(aThen, aGroup, aConnection);
-        return;
-      }
-      this->running.erase(aGroup);
-      // All connections are busy, unless none answers.
-      if (!this->health.HasAnsweredSince(aPrimary, aNow)) {
-        this->health.NoteFailure(aPrimary, aNow);
-      }
-    };
+    request.handler =
+      [this, aGroup, aServer, aBegin, aNow](Instant aThen, PooledConnection<Network>* aConnection) {
+        if (aConnection != nullptr) {
+          this->Run(aThen, aGroup, aConnection, aBegin);
+          return;
+        }
+        this->running.erase(aServer);
+        // All connections are busy, unless none answers.
+        if (!this->health.HasAnsweredSince(aServer, aNow)) {
+          this->health.NoteFailure(aServer, aNow);
+        }
+      };
     this->pool.Acquire(aNow, std::move(request));
   }
 
-  void Run(Instant aNow, const DatabaseName& aGroup, PooledConnection<Network>* aConnection)
+  void Run(Instant aNow,
+           const DatabaseName& aGroup,
+           PooledConnection<Network>* aConnection,
+           ServerCommandKind aBegin)
   {
     ServerCommand begin;
-    begin.kind = ServerCommandKind::Begin;
+    begin.kind = aBegin;
     ServerCommand rollback;
     rollback.kind = ServerCommandKind::Rollback;
-    const auto timer = this->scheduler.Schedule(
-      aNow + kAnswerTime, [this, aGroup, aConnection, aNow](Instant aThen) {
-        this->running.erase(aGroup);
+    const auto timer =
+      this->scheduler.Schedule(aNow + kAnswerTime, [this, aConnection, aNow](Instant aThen) {
+        this->running.erase(aConnection->server);
         this->health.NoteFailure(aConnection->server, aNow);
         this->pool.Discard(aThen, aConnection);
       });
@@ -119,7 +147,7 @@
       { std::move(begin), std::move(rollback) },
       [this, aGroup, aConnection, timer](Instant aThen, const ScriptResult& aResult) {
         this->scheduler.Cancel(timer);
-        this->running.erase(aGroup);
+        this->running.erase(aConnection->server);
         this->OnResult(aThen, aGroup, aConnection, aResult);
       });
   }
@@ -149,8 +177,9 @@
   ServerHealth& health;
   PositionTable& positions;
   Scheduler& scheduler;
-  /** Groups whose primary is being asked. */
-  std::set<DatabaseName> running;
+  /** Servers that are being asked. */
+  std::set<ServerId> running;
+  std::map<ServerId, Instant> replicasAskedAt;
 };
 
 } // namespace mustardshift::proxy
--- a/packages/proxy/tests/FleetHistoryTest.cpp
+++ b/packages/proxy/tests/FleetHistoryTest.cpp
@@ -27,6 +27,7 @@
   CPPUNIT_TEST(GroupsThatLoseTheirPrimariesTogetherDontWaitForEachOther);
   CPPUNIT_TEST(APrimaryThatFewCantReachStays);
   CPPUNIT_TEST(APrimaryThatRefusedOnceIsAskedAgain);
+  CPPUNIT_TEST(ReplicasThatWereCutOffAreReadFromAgain);
   CPPUNIT_TEST(AnotherVmTakesTheDutyOver);
   CPPUNIT_TEST(TheDutyFindsAHolderAfterAnOutageOfTheStore);
   CPPUNIT_TEST(ProcessesThatStartKnowWhoHasStopped);
@@ -153,6 +154,41 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(2), served);
   }
 
+  /** Only primaries were asked again; a replica that two connections were lost to was never read
+     from again, and the primary carried its reads. */
+  void ReplicasThatWereCutOffAreReadFromAgain()
+  {
+    FleetSimulation fleet(4, 15);
+    const auto read = [&] {
+      const std::size_t before = fleet.network.runs.size();
+      for (int round = 0; round < 60; ++round) {
+        for (std::size_t vm = 0; vm < fleet.vms.size(); ++vm) {
+          fleet.Ask(vm, "board", "key-blue", "READ slot-1", [](Instant, const ClientReply&) {});
+        }
+        fleet.Advance(milliseconds(50));
+      }
+      return std::count_if(fleet.network.runs.begin() + static_cast<std::ptrdiff_t>(before),
+                           fleet.network.runs.end(),
+                           [&](const auto& aRun) { return aRun.server != ServerId("s1"); });
+    };
+    const auto setDark = [&](bool aIsDark) {
+      for (const char* replica : { "s2", "s3" }) {
+        fleet.network.Server(replica).isDark = aIsDark;
+        if (aIsDark) {
+          fleet.network.BreakConnections(fleet.now, replica);
+        }
+      }
+    };
+    const auto usual = read();
+    setDark(true);
+    CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t(0), read());
+    setDark(false);
+    fleet.Advance(seconds(2));
+    const auto after = read();
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(after) + " after " + std::to_string(usual),
+                           10 * after >= 9 * usual);
+  }
+
   void AnotherVmTakesTheDutyOver()
   {
     FleetSimulation fleet(5, 4);
