Serve the backlog after a start: wait longer for tokens, ask more lenders

Change: up to six VMs are asked, the pause is 60 ms, and for 2 s after the start an operation waits for up to 400 ms for a token instead of 100 ms.

--- a/packages/proxy/SessionProxy.h
+++ b/packages/proxy/SessionProxy.h
@@ -154,6 +154,7 @@
   /** Starts following the store. Precondition: called once. */
   void Start(Instant aNow)
   {
+    this->gate.SetStart(aNow);
     this->operators.Start(aNow);
     this->servers.Start(aNow);
     this->coordinator.Start(aNow);
--- a/packages/proxy/rate/TokenExchange.h
+++ b/packages/proxy/rate/TokenExchange.h
@@ -35,8 +35,8 @@
       domain and back, on a loaded VM. */
   static constexpr Duration kAnswerTime = std::chrono::milliseconds(25);
   /** VMs that are asked in turn, and the pause when none of them had tokens. */
-  static constexpr std::size_t kMostLenders = 3;
-  static constexpr Duration kPause = std::chrono::milliseconds(150);
+  static constexpr std::size_t kMostLenders = 6;
+  static constexpr Duration kPause = std::chrono::milliseconds(60);
   /** Most tokens that are asked for besides those of the operations that wait, so that the next
      ones find some; no more than are used while they can be. */
   static constexpr std::uint32_t kMostAhead = 2;
--- a/packages/proxy/rate/TokenGate.cpp
+++ b/packages/proxy/rate/TokenGate.cpp
@@ -24,12 +24,13 @@
   const bool mayGetTokens =
     this->onShortage && this->onShortage(aNow, aOrganisation, line.waiters.size() + 1);
   const auto next = this->buckets.TimeOfTokens(aNow, aOrganisation, line.waiters.size() + 1);
-  if (!mayGetTokens && (!next || *next > aNow + kLongestWait)) {
+  const bool isStarting = aNow < this->patientUntil;
+  if (!mayGetTokens && !isStarting && (!next || *next > aNow + this->LongestWait(aNow))) {
     aHandler(aNow, false);
     return 0;
   }
   const Ticket ticket = ++this->lastTicket;
-  line.waiters.push_back({ ticket, aNow + kLongestWait, std::move(aHandler) });
+  line.waiters.push_back({ ticket, aNow + this->LongestWait(aNow), std::move(aHandler) });
   this->ArmTimer(aNow, aOrganisation);
   return ticket;
 }
--- a/packages/proxy/rate/TokenGate.h
+++ b/packages/proxy/rate/TokenGate.h
@@ -32,6 +32,11 @@
 
   /** Longest wait. */
   static constexpr Duration kLongestWait = std::chrono::milliseconds(100);
+  /** Longest wait in the time after the start. */
+  static constexpr Duration kLongestWaitAtStart = std::chrono::milliseconds(400);
+  /** Buckets start empty, and after an outage the clients of many VMs come at once; their backlog
+     is served within about this time. */
+  static constexpr Duration kStartTime = std::chrono::seconds(2);
 
   /** The references have to outlive the gate. */
   TokenGate(OrganisationBuckets& aBuckets, Scheduler& aScheduler)
@@ -43,10 +48,13 @@
   TokenGate& operator=(const TokenGate&) = delete;
   ~TokenGate() = default;
 
+  /** Tells when the process has started. Without it, there is no time after the start. */
+  void SetStart(Instant aNow) { this->patientUntil = aNow + kStartTime; }
+
   void SetShortageHandler(ShortageHandler aHandler) { this->onShortage = std::move(aHandler); }
 
-  /** Asks for a token. The handler is called once, at once or within kLongestWait; the ticket is
-      zero when it was called already. */
+  /** Asks for a token. The handler is called once, at once or within the longest wait; the ticket
+     is zero when it was called already. */
   Ticket Admit(Instant aNow, const OrganisationName& aOrganisation, Handler aHandler);
 
   /** Drops a waiting operation without calling its handler. */
@@ -68,11 +76,17 @@
     std::optional<Scheduler::TaskId> timer;
   };
 
+  Duration LongestWait(Instant aNow) const
+  {
+    return aNow < this->patientUntil ? kLongestWaitAtStart : kLongestWait;
+  }
+
   void ArmTimer(Instant aNow, const OrganisationName& aOrganisation);
 
   OrganisationBuckets& buckets;
   Scheduler& scheduler;
   ShortageHandler onShortage;
+  Instant patientUntil{};
   std::map<OrganisationName, Line> lines;
   Ticket lastTicket = 0;
 };
--- a/packages/proxy/tests/TokenExchangeTest.cpp
+++ b/packages/proxy/tests/TokenExchangeTest.cpp
@@ -189,6 +189,7 @@
   CPPUNIT_TEST(ClientsOnOneVmGetTheWholeRate);
   CPPUNIT_TEST(VmsWithoutPartsFetchTheirTokens);
   CPPUNIT_TEST(NewProcessesBorrowTheirFirstTokens);
+  CPPUNIT_TEST(ABacklogAtTheStartIsServed);
   CPPUNIT_TEST(OperationsOverTheRateAreRefusedSoon);
   CPPUNIT_TEST(WindowsKeepTheToleranceInSeededHistories);
   CPPUNIT_TEST(MessagesAreReadBack);
@@ -252,6 +253,27 @@
     CPPUNIT_ASSERT(fleet.admitted.size() >= 9);
   }
 
+  /** After all processes were killed, the first VM that is ready gets the clients of all others. */
+  void ABacklogAtTheStartIsServed()
+  {
+    Fleet fleet(6);
+    fleet.Share();
+    for (const auto& vm : fleet.vms) {
+      vm->gate.SetStart(fleet.now);
+    }
+    fleet.Advance(milliseconds(300));
+    for (int index = 0; index < 40; ++index) {
+      fleet.Ask(2);
+    }
+    for (int index = 0; index < 50; ++index) {
+      fleet.Advance(milliseconds(20));
+      fleet.Ask(2);
+    }
+    fleet.Advance(milliseconds(500));
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(fleet.admitted.size()) + " of 90",
+                           fleet.admitted.size() >= 81);
+  }
+
   void OperationsOverTheRateAreRefusedSoon()
   {
     Fleet fleet(3);
