--- a/packages/proxy/SessionProxy.h
+++ b/packages/proxy/SessionProxy.h
@@ -88,14 +88,14 @@
              aScheduler,
              aLog)
     , gate(this->buckets, aScheduler)
-    , exchange(this->settings.vm,
-               this->settings.domain,
-               this->settings.incarnation,
-               aMessenger,
-               this->fleet,
-               this->buckets,
-               this->gate,
-               aScheduler)
+    , tokenExchange(this->settings.vm,
+                    this->settings.domain,
+                    this->settings.incarnation,
+                    aMessenger,
+                    this->fleet,
+                    this->buckets,
+                    this->gate,
+                    aScheduler)
     , positionExchange(this->settings.vm,
                        this->settings.domain,
                        this->settings.incarnation,
@@ -178,7 +178,7 @@
   /** Takes a datagram of another VM. */
   void OnDatagram(Instant aNow, std::string_view aBytes)
   {
-    if (!this->exchange.OnDatagram(aNow, aBytes) &&
+    if (!this->tokenExchange.OnDatagram(aNow, aBytes) &&
         !this->positionExchange.OnDatagram(aNow, aBytes) &&
         !this->confirmationExchange.OnDatagram(aNow, aBytes)) {
       this->log.Write(
@@ -370,7 +370,7 @@
   ServerProber<Network> prober;
   PromotionDriver<Network, Store, Orders> driver;
   TokenGate gate;
-  TokenExchange<Messenger> exchange;
+  TokenExchange<Messenger> tokenExchange;
   PositionExchange<Messenger> positionExchange;
   OperatorTableDigest operatorDigest;
   ConfirmationExchange<Messenger> confirmationExchange;
