--- a/packages/proxy/rate/TokenExchange.h
+++ b/packages/proxy/rate/TokenExchange.h
@@ -136,7 +136,7 @@
       std::rotate(lenders.begin(), lenders.begin() + first, lenders.end());
       if (!hasParts) {
         std::stable_partition(lenders.begin(), lenders.end(), [this](const VmId& aVm) {
-          return this->fleet.Members().at(aVm).row.domain == this->domain;
+          return this->fleet.DomainOf(aVm) == this->domain;
         });
       }
       lenders.resize(std::min(lenders.size(), kMostLenders));
@@ -185,8 +185,8 @@
 
   void OnRequest(Instant aNow, const TokenRequest& aRequest)
   {
-    const auto member = this->fleet.Members().find(aRequest.sender);
-    if (member == this->fleet.Members().end() || member->second.row.peerAddress.empty()) {
+    const std::string address = this->fleet.PeerAddressOf(aRequest.sender);
+    if (address.empty()) {
       return;
     }
     if (this->fleet.Allocation().PartsOf(aRequest.organisation, aRequest.sender) == 0) {
@@ -195,7 +195,7 @@
     const std::uint32_t given =
       this->buckets.Give(aNow, aRequest.organisation, aRequest.wanted, kReserveSeconds);
     const TokenGrant grant{ this->self, aRequest.incarnation, aRequest.number, given };
-    this->messenger.Send(member->second.row.peerAddress, EncodeTokenMessage(grant));
+    this->messenger.Send(address, EncodeTokenMessage(grant));
   }
 
   void OnGrant(Instant aNow, const TokenGrant& aGrant)
