Send nothing to a primary that is known to be fenced; mend two flaky tests

Cause: a primary that has accepted a later term refuses every statement of the old one. Writes and reads were sent to it again every 20 ms until their deadline. Under load the last attempt had no answer at the deadline, so a statement that nobody ran ended in doubt: FaultTableTest, case 'primary fenced by a later term'. RequestExecutionTest::TestLowerEntitlementClosesOnlyExcess needed four writes to overlap in real time.

Change: the dispatcher remembers the term that its primary refused for good; statements wait for the next primary and are refused as not run at their deadline. The entitlement test freezes the answers until all four writes have arrived.

--- a/packages/daemon/request/DatabaseDispatcher.cpp
+++ b/packages/daemon/request/DatabaseDispatcher.cpp
@@ -398,6 +398,14 @@
   }
 }
 
+void DatabaseDispatcher::ObserveWrongTerm(std::uint64_t aSentTerm, std::uint64_t aAcceptedTerm)
+{
+  // A server that has accepted an earlier term has not learnt of its promotion yet.
+  if (aSentTerm == this->primary.term && aAcceptedTerm > aSentTerm) {
+    this->fencedTerm = aSentTerm;
+  }
+}
+
 void DatabaseDispatcher::WaitForPosition(Instant aNow,
                                          const ServerAddress& aServer,
                                          LogPosition aPosition,
--- a/packages/daemon/request/DatabaseDispatcher.h
+++ b/packages/daemon/request/DatabaseDispatcher.h
@@ -104,6 +104,16 @@
                      Instant aSentAt,
                      const Outcome<database::v1::Answer>& aAnswer);
 
+  /** Records that a server refused aSentTerm because it has accepted aAcceptedTerm. */
+  void ObserveWrongTerm(std::uint64_t aSentTerm, std::uint64_t aAcceptedTerm);
+
+  /** Whether the primary has accepted a later term than the one that it is known for. It will
+     refuse every statement, so statements have to wait for SetPrimary(). */
+  bool IsPrimaryFenced() const
+  {
+    return this->fencedTerm != 0 && this->fencedTerm == this->primary.term;
+  }
+
   /** Asks a server to answer once its log holds a position, or after aBound. */
   void WaitForPosition(Instant aNow,
                        const ServerAddress& aServer,
@@ -181,6 +191,8 @@
   FailureDomainName failureDomain;
   GroupPrimary primary;
   Instant primaryAnsweredAt{};
+  /** Term that its primary has refused for good; zero if there is none. */
+  std::uint64_t fencedTerm = 0;
   Queue primaryQueue;
   std::map<ServerAddress, Server> servers;
   std::map<OrganisationName, unsigned> weights;
--- a/packages/daemon/request/ReadExecutor.cpp
+++ b/packages/daemon/request/ReadExecutor.cpp
@@ -47,7 +47,13 @@
   this->minimumPosition = planned.minimumPosition;
   std::visit(
     Overloaded{ [&](const ReadAtReplica& aPlan) { this->ReadFrom(aNow, aPlan.replica, false); },
-                [&](const ReadAtPrimary& aPlan) { this->ReadFrom(aNow, aPlan.primary, true); },
+                [&](const ReadAtPrimary& aPlan) {
+                  if (this->dispatcher->IsPrimaryFenced()) {
+                    this->RetryAllServersLater(aNow);
+                  } else {
+                    this->ReadFrom(aNow, aPlan.primary, true);
+                  }
+                },
                 [&](const WaitAtReplica& aPlan) {
                   this->dispatcher->WaitForPosition(
                     aNow,
@@ -103,13 +109,16 @@
   const ServerAddress primary = this->dispatcher->Primary().server;
   const ServerAddress server = aIsPrimary ? primary : aServer;
   const bool leads = server == primary;
+  const std::uint64_t term = this->dispatcher->Primary().term;
   aLease->Send(
-    MakeExecuteFrame(
-      this->dispatcher->Primary().term, this->request.statement, this->request.requestId, true),
+    MakeExecuteFrame(term, this->request.statement, this->request.requestId, true),
     this->request.deadline - aNow,
-    [self = this->shared_from_this(), lease = aLease, server, leads, sentAt = aNow](
+    [self = this->shared_from_this(), lease = aLease, server, leads, term, sentAt = aNow](
       Instant aLater, const Outcome<database::v1::Answer>& aAnswer) {
       self->dispatcher->ObserveAnswer(aLater, server, sentAt, aAnswer);
+      if (leads && aAnswer && aAnswer->status() == database::v1::ANSWER_STATUS_WRONG_TERM) {
+        self->dispatcher->ObserveWrongTerm(term, aAnswer->accepted_term());
+      }
       self->OnAnswer(aLater, server, sentAt, leads, aAnswer);
     });
 }
--- a/packages/daemon/request/WriteExecutor.cpp
+++ b/packages/daemon/request/WriteExecutor.cpp
@@ -31,6 +31,10 @@
 
 void WriteExecutor::Attempt(Instant aNow)
 {
+  if (this->dispatcher->IsPrimaryFenced()) {
+    this->RetryLater(aNow, RequestStep::AwaitAnswer, Fault::RefusedForTerm);
+    return;
+  }
   QueuedOperation operation;
   operation.organisation = this->organisation;
   operation.deadline = this->request.deadline;
@@ -83,6 +87,7 @@
     case database::v1::ANSWER_STATUS_WRONG_TERM:
       // The server did not run the statement, so even one that is not repeatable may be sent to the
       // new primary.
+      this->dispatcher->ObserveWrongTerm(this->sentTerm, aAnswer->accepted_term());
       this->RetryLater(aNow, RequestStep::AwaitAnswer, Fault::RefusedForTerm);
       return;
     case database::v1::ANSWER_STATUS_INVALID:
--- a/packages/daemon/tests/RequestExecutionTest.cpp
+++ b/packages/daemon/tests/RequestExecutionTest.cpp
@@ -20,6 +20,7 @@
   CPPUNIT_TEST(TestCommitCountsAsRunning);
   CPPUNIT_TEST(TestLowerEntitlementClosesOnlyExcess);
   CPPUNIT_TEST(TestLateAnswerKeepsPositionAge);
+  CPPUNIT_TEST(TestFencedPrimaryGetsNoFurtherStatements);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -177,11 +178,18 @@
   void TestLowerEntitlementClosesOnlyExcess()
   {
     RequestFixture fixture;
+    // No connection becomes free before the last write has been sent, so that each write needs one
+    // of its own.
+    standin::v1::DatabaseFaults freeze;
+    freeze.set_freeze_answers(true);
+    fixture.group.At(0).SetFaults(freeze);
     std::vector<std::future<Outcome<CallerAnswer>>> replies;
     replies.reserve(4);
     for (int i = 0; i < 4; ++i) {
       replies.push_back(fixture.Execute(MakeCallerRequest("w" + std::to_string(i), "ADD n 1")));
     }
+    CPPUNIT_ASSERT(Eventually([&] { return fixture.group.At(0).Counters().writes() == 4; }));
+    fixture.group.At(0).SetFaults({});
     for (auto& reply : replies) {
       CPPUNIT_ASSERT(RequestFixture::WaitForReply(reply));
     }
@@ -218,6 +226,31 @@
     CPPUNIT_ASSERT(std::holds_alternative<ReadAtPrimary>(planned.plan) ||
                    planned.minimumPosition.offset >= end->position().offset());
   }
+
+  /** A primary that has accepted a later term refuses every statement. Statements that were sent
+      again shortly before their deadline would end in doubt although nothing ran. */
+  void TestFencedPrimaryGetsNoFurtherStatements()
+  {
+    Section("a write is sent once", [] { ExpectOneRefusal(false); });
+    Section("a read is sent once", [] { ExpectOneRefusal(true); });
+  }
+
+private:
+  /** Executes one statement at a fenced primary until its deadline. */
+  static void ExpectOneRefusal(bool aIsRead)
+  {
+    RequestFixture fixture;
+    CPPUNIT_ASSERT(fixture.group.At(0).client->AcceptTerm(3, kTimeout)->accepted());
+    CallerRequest request = MakeCallerRequest("late", aIsRead ? "GET account" : "ADD account 1");
+    request.isReadOnly = aIsRead;
+    request.deadline = SystemBootClock{}.Now() + std::chrono::seconds(1);
+    auto reply = fixture.Execute(request);
+    const auto outcome = RequestFixture::WaitForReply(reply);
+    CPPUNIT_ASSERT(!outcome);
+    CPPUNIT_ASSERT_EQUAL(std::string(ToString(Verdict::NotRun)),
+                         std::string(ToString(outcome.error().verdict)));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{ 1 }, fixture.group.At(0).Counters().wrong_terms());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RequestExecutionTest);
