Reject odd entries and numbers out of range where rows are decoded

Rows of the gRPC daemon were parsed by a decoder that recurses once for each level of nesting; a row of 64 KB could exhaust the stack.

--- a/packages/daemon/control/PlatformRows.cpp
+++ b/packages/daemon/control/PlatformRows.cpp
@@ -1,5 +1,8 @@
 #include "daemon/control/PlatformRows.h"
 
+#include "core/base/BoundedCbor.h"
+#include "core/base/JsonNumber.h"
+
 #include <charconv>
 #include <nlohmann/json.hpp>
 
@@ -21,8 +24,12 @@
 auto DecodeCbor(std::string_view aBytes, Reader aReader)
   -> std::optional<decltype(aReader(std::declval<const json&>()))>
 {
+  const std::optional<json> content = ParseBoundedCbor(aBytes);
+  if (!content) {
+    return std::nullopt;
+  }
   try {
-    return aReader(json::from_cbor(aBytes.begin(), aBytes.end()));
+    return aReader(*content);
   } catch (const json::exception&) {
     return std::nullopt;
   }
@@ -79,7 +86,7 @@
 std::optional<DatabaseRow> DecodeDatabaseRow(std::string_view aValue)
 {
   return DecodeCbor(aValue, [](const json& aContent) {
-    return DatabaseRow{ aContent.at("term").get<std::uint64_t>(),
+    return DatabaseRow{ IntegerOf<std::uint64_t>(aContent.at("term")),
                         ServerAddress(aContent.at("primary").get<std::string>()),
                         aContent.at("operation").get<std::string>() };
   });
@@ -97,7 +104,7 @@
 std::optional<VmRow> DecodeVmRow(std::string_view aValue)
 {
   return DecodeCbor(aValue, [](const json& aContent) {
-    return VmRow{ aContent.at("incarnation").get<std::uint64_t>(),
+    return VmRow{ IntegerOf<std::uint64_t>(aContent.at("incarnation")),
                   aContent.at("caller").get<std::string>(),
                   aContent.at("operator").get<std::string>(),
                   aContent.at("peer").get<std::string>(),
@@ -125,8 +132,8 @@
     QuotaShardRow row;
     row.shard = { static_cast<std::uint8_t>(*index) };
     row.holder = VmId(aContent.at("holder").get<std::string>());
-    row.incarnation = aContent.at("incarnation").get<std::uint64_t>();
-    row.operation = aContent.at("operation").get<std::uint64_t>();
+    row.incarnation = IntegerOf<std::uint64_t>(aContent.at("incarnation"));
+    row.operation = IntegerOf<std::uint64_t>(aContent.at("operation"));
     row.version = aRow.version;
     return row;
   });
--- a/packages/proxy/coordination/PromotionLeaseRow.cpp
+++ b/packages/proxy/coordination/PromotionLeaseRow.cpp
@@ -1,6 +1,7 @@
 #include "proxy/coordination/PromotionLeaseRow.h"
 
 #include "core/base/BoundedCbor.h"
+#include "core/base/JsonNumber.h"
 
 #include <nlohmann/json.hpp>
 
@@ -19,7 +20,7 @@
   }
   try {
     return PromotionLeaseRow{ VmId(value->at("holder").get<std::string>()),
-                              value->at("fence").get<std::uint64_t>() };
+                              IntegerOf<std::uint64_t>(value->at("fence")) };
   } catch (const nlohmann::json::exception&) {
     return std::nullopt;
   }
