--- a/packages/adapters/settings/SessionSettings.h
+++ b/packages/adapters/settings/SessionSettings.h
@@ -4,6 +4,7 @@
 #include "core/base/Names.h"
 
 #include <string>
+#include <vector>
 
 namespace mustardshift {
 
@@ -16,7 +17,11 @@
   std::string sessionsAddress;
   /** The load balancer's probe. */
   std::string readinessAddress;
-  /** Datagrams of other VMs; empty for none. */
+  /** Failure domains of the deployment; empty if they are not known. */
+  std::vector<FailureDomainName> failureDomains;
+  /** Cores that this VM has. */
+  double processorShare = 1;
+  /** Datagrams of other VMs, and requests for copies of tables over TCP; empty for none. */
   std::string peerAddress;
   /** Metrics as text; empty for none. */
   std::string metricsAddress;
--- a/packages/adapters/settings/SessionSettingsReader.cpp
+++ b/packages/adapters/settings/SessionSettingsReader.cpp
@@ -14,6 +14,10 @@
 /** Operations; more would be no limit. */
 constexpr double kGreatestSlack = 10'000;
 constexpr Duration kGreatestBound = minutes(10);
+constexpr std::size_t kMaxFailureDomains = 100;
+/** Cores. */
+constexpr double kMinProcessorShare = 0.001;
+constexpr double kMaxProcessorShare = 1024;
 
 } // namespace
 
@@ -43,6 +47,8 @@
                 "failure_domain",
                 "sessions_address",
                 "readiness_address",
+                "failure_domains",
+                "processor_share",
                 "peer_address",
                 "metrics_address",
                 "store_address",
@@ -57,6 +63,12 @@
   SessionSettings settings;
   settings.vm = VmId(top.Identifier("vm"));
   settings.failureDomain = FailureDomainName(top.Identifier("failure_domain"));
+  for (const YAML::Node& domain : top.List("failure_domains", false, kMaxFailureDomains)) {
+    settings.failureDomains.emplace_back(domain.as<std::string>(std::string()));
+  }
+  if (top.Has("processor_share")) {
+    settings.processorShare = top.Number("processor_share", kMinProcessorShare, kMaxProcessorShare);
+  }
   settings.sessionsAddress = top.Address("sessions_address");
   settings.readinessAddress = top.Address("readiness_address");
   settings.peerAddress = top.Address("peer_address", std::string());
--- a/packages/proxy/ProxySettings.h
+++ b/packages/proxy/ProxySettings.h
@@ -2,9 +2,11 @@
 
 #include "core/base/Instant.h"
 #include "core/base/Names.h"
+#include "proxy/coordination/FleetRole.h"
 #include "proxy/rate/RateTolerance.h"
 #include "proxy/session/SessionLimits.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 
@@ -19,6 +21,10 @@
   std::string peerAddress;
   /** Distinguishes this process from earlier processes of the same VM. */
   std::uint64_t incarnation = 0;
+  /** Number of members that each failure domain should have, see MembersPerDomain(). */
+  std::size_t membersPerDomain = kMaxMembersPerDomain;
+  /** Cores that this VM has; VMs with more become members first. */
+  double processorShare = 1;
   /** How long after its last confirmation a configuration may be used for requests with a key. */
   Duration maxConfirmationAge = std::chrono::milliseconds(4800);
   /** Longest time that the store holds a watch request on the configuration before it answers. The
--- a/packages/proxy/SessionProxy.h
+++ b/packages/proxy/SessionProxy.h
@@ -4,10 +4,12 @@
 #include "proxy/ProxySettings.h"
 #include "proxy/RecordDecoder.h"
 #include "proxy/cluster/ClusterState.h"
-#include "proxy/coordination/ConfigurationConfirmationExchange.h"
+#include "proxy/coordination/AttachmentExchange.h"
 #include "proxy/coordination/FleetCoordinator.h"
+#include "proxy/coordination/FleetRole.h"
 #include "proxy/coordination/FleetView.h"
-#include "proxy/coordination/OperatorTableDigest.h"
+#include "proxy/coordination/PeerTableReader.h"
+#include "proxy/coordination/TableCopy.h"
 #include "proxy/coordination/TableFollower.h"
 #include "proxy/log/EventLog.h"
 #include "proxy/pool/ServerHealth.h"
@@ -37,15 +39,16 @@
 
 namespace mustardshift::proxy {
 
-/** The session proxy of one VM, without its sockets: watches the store's tables, pools connections
-    to the database servers, promotes replicas when primaries have to be replaced, and creates
-    client sessions.
+/** The session proxy of one VM, without its sockets: follows the store's tables, itself or through
+    other VMs, pools connections to the database servers, promotes replicas when primaries have to
+   be replaced, and creates client sessions.
 
     Thread safety: none; one thread owns the object. */
 template<DatabaseNetwork Network,
          TableStore Store,
          PromotionOrderSender Orders,
          PeerMessenger Messenger,
+         PeerTableReader Peers,
          RecordDecoder Decoder>
 class SessionProxy
 {
@@ -64,6 +67,7 @@
                Store& aStore,
                Orders& aOrders,
                Messenger& aMessenger,
+               Peers& aPeers,
                Scheduler& aScheduler,
                EventLog& aLog,
                std::function<void(const StatementOutcome&)> aOnStatementEnd)
@@ -92,6 +96,7 @@
     , throttler(this->buckets, aScheduler)
     , tokenExchange(this->settings.vm,
                     this->settings.domain,
+                    this->settings.peerAddress,
                     this->settings.incarnation,
                     aMessenger,
                     this->fleet,
@@ -100,37 +105,57 @@
                     aScheduler)
     , positionExchange(this->settings.vm,
                        this->settings.domain,
+                       this->settings.peerAddress,
                        this->settings.incarnation,
                        aMessenger,
                        this->fleet,
                        this->positions)
-    , confirmationExchange(this->settings.vm,
-                           this->settings.domain,
-                           this->settings.incarnation,
-                           aMessenger,
-                           this->fleet,
-                           this->operatorDigest,
-                           this->cluster)
-    , coordinator(this->settings.vm,
-                  this->settings.domain,
-                  this->settings.peerAddress,
-                  aStore,
-                  this->cluster,
-                  this->fleet,
-                  this->buckets,
-                  aScheduler,
-                  aLog,
-                  [this](Instant aNow) { this->OnFleetRead(aNow); })
+    , attachment(
+        this->settings.vm,
+        this->settings.domain,
+        this->settings.peerAddress,
+        this->settings.incarnation,
+        this->settings.membersPerDomain,
+        aMessenger,
+        this->fleet,
+        this->operatorCopy,
+        this->serverCopy,
+        this->cluster,
+        [this](Instant aNow, const AttachmentAnswer& aAnswer, const std::string& aMember) {
+          this->OnAttachmentAnswer(aNow, aAnswer, aMember);
+        },
+        [this](Instant aNow, const VmId& aMember) {
+          this->tokenExchange.MarkSilent(aNow, aMember);
+        })
+    , coordinator(
+        this->settings.vm,
+        this->settings.domain,
+        this->settings.peerAddress,
+        this->settings.membersPerDomain,
+        this->settings.processorShare,
+        this->settings.incarnation ^ StableHash(this->settings.vm.Text()),
+        aStore,
+        this->cluster,
+        this->fleet,
+        this->buckets,
+        aScheduler,
+        aLog,
+        [this](Instant aNow) { this->OnFleetRead(aNow); },
+        [this](Instant aNow, FleetRole aRole) { this->OnRole(aNow, aRole); })
     , operatorFollower(aStore,
+                       aPeers,
                        aScheduler,
                        aLog,
                        std::string(Decoder::kOperatorTable),
+                       this->operatorCopy,
                        this->settings.configurationWatchTimeout,
                        this->OperatorHandlers())
     , serverFollower(aStore,
+                     aPeers,
                      aScheduler,
                      aLog,
                      std::string(Decoder::kServerTable),
+                     this->serverCopy,
                      this->settings.serverWatchTimeout,
                      this->ServerHandlers())
     , context{ this->cluster,
@@ -146,8 +171,10 @@
                this->settings.sessionLimits,
                std::move(aOnStatementEnd) }
   {
-    this->operatorFollower.SetSkipWatch(
-      [this](Instant aNow) { return this->confirmationExchange.IsCurrent(aNow); });
+    this->operatorFollower.SetSkipStore(
+      [this](Instant aNow) { return this->attachment.AreOperatorsCurrent(aNow); });
+    this->serverFollower.SetSkipStore(
+      [this](Instant aNow) { return this->attachment.AreServersCurrent(aNow); });
   }
   SessionProxy(const SessionProxy&) = delete;
   SessionProxy& operator=(const SessionProxy&) = delete;
@@ -157,8 +184,6 @@
   void Start(Instant aNow)
   {
     this->throttler.SetProcessStart(aNow);
-    this->operatorFollower.Start(aNow);
-    this->serverFollower.Start(aNow);
     this->coordinator.Start(aNow);
     this->RunPeriodicChecks(aNow);
   }
@@ -166,8 +191,7 @@
   /** Whether new sessions can be served. */
   bool IsReady(Instant aNow) const
   {
-    return this->cluster.IsTrusted(aNow) && this->cluster.HasServerList() &&
-           this->coordinator.IsReady(aNow);
+    return this->cluster.IsTrusted(aNow) && this->cluster.HasServerList() && this->IsInFleet(aNow);
   }
 
   /** Creates a session; its Open() returns whether the client may use it. */
@@ -182,29 +206,77 @@
   {
     if (!this->tokenExchange.OnDatagram(aNow, aBytes) &&
         !this->positionExchange.OnDatagram(aNow, aBytes) &&
-        !this->confirmationExchange.OnDatagram(aNow, aBytes)) {
+        !this->attachment.OnDatagram(aNow, aBytes)) {
       this->log.Write(
         aNow, "peer", "malformed-datagram", { { "bytes", std::to_string(aBytes.size()) } });
     }
   }
 
+  /** This VM's copy of a table, for other VMs; null if there is none, or if this VM is not a member
+      and could serve an old one. */
+  const TableCopy* CopyForPeers(std::string_view aTable) const
+  {
+    if (this->coordinator.Role() != FleetRole::Member) {
+      return nullptr;
+    }
+    if (aTable == Decoder::kOperatorTable) {
+      return &this->operatorCopy;
+    }
+    return aTable == Decoder::kServerTable ? &this->serverCopy : nullptr;
+  }
+
+  FleetRole Role() const { return this->coordinator.Role(); }
   const ClusterState& Cluster() const { return this->cluster; }
   const ServerPool<Network>& Pool() const { return this->pool; }
   const FleetView& Fleet() const { return this->fleet; }
 
 private:
-  using Follower = TableFollower<Store>;
+  using Follower = TableFollower<Store, Peers>;
+
+  /** Whether this VM may use its part of what the VMs share: rates and connections. */
+  bool IsInFleet(Instant aNow) const
+  {
+    return this->coordinator.Role() == FleetRole::Attached ? this->attachment.HasMember(aNow)
+                                                           : this->coordinator.HasLease(aNow);
+  }
+
+  void OnRole(Instant aNow, FleetRole aRole)
+  {
+    this->attachment.SetRole(aNow, aRole);
+    this->operatorFollower.SetStoreIsFallback(aRole == FleetRole::Attached);
+    this->serverFollower.SetStoreIsFallback(aRole == FleetRole::Attached);
+    if (!this->areFollowersStarted) {
+      this->areFollowersStarted = true;
+      this->operatorFollower.Start(aNow);
+      this->serverFollower.Start(aNow);
+    }
+  }
+
+  void OnAttachmentAnswer(Instant aNow,
+                          const AttachmentAnswer& aAnswer,
+                          const std::string& aMemberAddress)
+  {
+    this->fleet.ApplyRoster(aNow, aAnswer.roster);
+    if (aAnswer.operatorDigest != this->operatorCopy.Digest()) {
+      this->operatorFollower.ReadFromPeer(aNow, aMemberAddress);
+    }
+    if (aAnswer.serverDigest != this->serverCopy.Digest()) {
+      this->serverFollower.ReadFromPeer(aNow, aMemberAddress);
+    }
+    this->coordinator.OnRoster(aNow, aAnswer.isInvited);
+  }
 
   typename Follower::Handlers OperatorHandlers()
   {
     return { [this](Instant aNow, const auto& aRows) {
               this->evacuatedDomains.clear();
-              this->operatorDigest.ReplaceRows(aRows);
               this->ApplyOperatorRows(aNow, aRows);
             },
              [this](Instant aNow, const auto& aRows) {
-               this->operatorDigest.ApplyRowChanges(aRows);
-               this->ApplyOperatorRows(aNow, aRows);
+               if (!aRows.empty()) {
+                 this->ApplyOperatorRows(aNow, aRows);
+                 this->attachment.NotifyAttachedVms();
+               }
              },
              [this](Instant aAsOf) { this->cluster.Confirm(aAsOf); } };
   }
@@ -249,7 +321,12 @@
   typename Follower::Handlers ServerHandlers()
   {
     return { [this](Instant aNow, const auto& aRows) { this->ApplyServerList(aNow, aRows); },
-             [this](Instant aNow, const auto& aRows) { this->ApplyServerChanges(aNow, aRows); },
+             [this](Instant aNow, const auto& aRows) {
+               if (!aRows.empty()) {
+                 this->ApplyServerChanges(aNow, aRows);
+                 this->attachment.NotifyAttachedVms();
+               }
+             },
              [](Instant) {} };
   }
 
@@ -278,8 +355,11 @@
       }
       const auto server = Decoder::DecodeServerRow(row);
       if (!server) {
+        // The entry names no server to use. One that is in use is kept for a while, since it writes
+        // its entry again with its next heartbeat.
         this->log.Write(
           aNow, "servers", "unreadable", { { "server", row.key }, { "why", server.error() } });
+        this->ScheduleRemoval(aNow, id);
         continue;
       }
       this->pendingRemovals.erase(id);
@@ -329,18 +409,11 @@
     this->driver.Step(aNow, this->coordinator.PromotionLeaseEnd());
   }
 
-  /** Divides the servers' connections among the VMs whose lease has not expired. */
+  /** Divides the servers' connections among the VMs. */
   void UpdateFleetSize(Instant aNow)
   {
-    if (!this->coordinator.IsReady(aNow)) {
-      this->pool.SetFleetSize(std::nullopt);
-      return;
-    }
-    const auto& members = this->fleet.Members();
-    const auto liveCount = std::count_if(members.begin(), members.end(), [&](const auto& aEntry) {
-      return !this->fleet.HasMemberExpired(aEntry.first);
-    });
-    this->pool.SetFleetSize(std::max<std::size_t>(1, static_cast<std::size_t>(liveCount)));
+    this->pool.SetFleetSize(this->IsInFleet(aNow) ? std::optional(this->fleet.VmCount())
+                                                  : std::nullopt);
   }
 
   void RunPeriodicChecks(Instant aNow)
@@ -348,10 +421,15 @@
     this->UpdateFleetSize(aNow);
     this->RemoveUnlistedServers(aNow);
     this->cluster.ExpireNotPrimaryMarks(aNow);
-    this->confirmationExchange.Step(aNow);
+    this->attachment.Step(aNow);
+    this->coordinator.SetAttachedVms(this->attachment.AttachedCount());
+    if (this->coordinator.Role() == FleetRole::Attached && !this->attachment.HasMember(aNow)) {
+      this->coordinator.Reconsider(aNow);
+    }
     this->prober.Step(aNow, [&](const DatabaseName& aGroup) {
-      return this->positionExchange.Fetch(aNow, aGroup, ServerProber<Network>::kMaxPositionAge);
+      return this->positionExchange.MustProbe(aNow, aGroup);
     });
+    this->positionExchange.SendRequests(aNow);
     this->coordinator.SetUnreachablePrimaries(aNow, this->prober.UnreachablePrimaries(aNow));
     this->coordinator.SetPromotionPending(aNow, this->driver.NeedsPromotion(aNow));
     this->driver.Step(aNow, this->coordinator.PromotionLeaseEnd());
@@ -376,12 +454,14 @@
   Throttler throttler;
   TokenExchange<Messenger> tokenExchange;
   PositionExchange<Messenger> positionExchange;
-  OperatorTableDigest operatorDigest;
-  ConfigurationConfirmationExchange<Messenger> confirmationExchange;
+  TableCopy operatorCopy;
+  TableCopy serverCopy;
+  AttachmentExchange<Messenger> attachment;
   FleetCoordinator<Store> coordinator;
   std::set<FailureDomainName> evacuatedDomains;
   /** Servers whose rows have disappeared, each with the instant at which this was seen. */
   std::map<ServerId, Instant> pendingRemovals;
+  bool areFollowersStarted = false;
   Follower operatorFollower;
   Follower serverFollower;
   SessionContext<Network> context;
--- /dev/null
+++ b/packages/proxy/coordination/AttachmentExchange.h
@@ -0,0 +1,350 @@
+#pragma once
+
+#include "core/base/Instant.h"
+#include "core/base/Names.h"
+#include "proxy/cluster/ClusterState.h"
+#include "proxy/coordination/AttachmentMessage.h"
+#include "proxy/coordination/FleetRole.h"
+#include "proxy/coordination/FleetView.h"
+#include "proxy/coordination/StableHash.h"
+#include "proxy/coordination/TableCopy.h"
+#include "proxy/rate/PeerMessenger.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <tuple>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace mustardshift::proxy {
+
+/** Connects attached VMs to members. An attached VM asks one member at a time; the answer confirms
+    its configuration, shows whether its copies of tables are those of the member, and names all
+    members. A member counts the VMs that ask it.
+
+    An answer confirms the configuration only if both VMs hold the same rows. The confirmation is
+    dated to the time just before the request was sent, minus the age stated in the answer. A
+   delayed message can therefore make a confirmation look older than it is, but never newer.
+
+    Thread safety: none; one thread owns the object. */
+template<PeerMessenger Messenger>
+class AttachmentExchange
+{
+public:
+  /** Interval between the requests of an attached VM. */
+  static constexpr Duration kRequestPeriod = std::chrono::milliseconds(800);
+  /** If an answer takes longer than this, the next member is asked. */
+  static constexpr Duration kAnswerTimeout = std::chrono::milliseconds(150);
+  /** A VM without an answer for this long is no longer attached. Covers a request to each of eight
+      members. */
+  static constexpr Duration kAnswerValidity = std::chrono::milliseconds(2000);
+  /** If the latest confirmation is older than this and a part of kStoreCallSpread, the VM watches
+      the operators' table itself, because the members evidently can't reach the store. Longer than
+      the duration of a member's watch and one period of requests together, with a margin. */
+  static constexpr Duration kMaxConfirmationAge = std::chrono::milliseconds(3000);
+  /** Spreads the calls of many VMs that lose their confirmations at the same time. */
+  static constexpr Duration kStoreCallSpread = std::chrono::milliseconds(1000);
+  /** An answer whose confirmation is older than this is used, but the next request goes to another
+      member. */
+  static constexpr Duration kStaleConfirmationAge = std::chrono::milliseconds(2000);
+  /** Time in which a copy that differs from the member's is expected to be replaced by it. After
+      that, the VM reads the store. */
+  static constexpr Duration kCopyPatience = std::chrono::milliseconds(1500);
+  /** A VM that has not asked for this long is no longer counted as attached. */
+  static constexpr Duration kAttachedExpiry = std::chrono::seconds(5);
+  /** Interval between invitations to become a member. Longer than it takes until the new member's
+      row is read. */
+  static constexpr Duration kInvitationInterval = std::chrono::seconds(4);
+  /** After this time, a VM tries the member again that it prefers. */
+  static constexpr Duration kPreferenceInterval = std::chrono::seconds(5);
+
+  /** Called on a VM that is attached for each answer, with the address of the member that sent
+      it. */
+  using AnswerHandler = std::function<void(Instant, const AttachmentAnswer&, const std::string&)>;
+  /** Called for each member that has not answered in time. */
+  using SilenceHandler = std::function<void(Instant, const VmId&)>;
+
+  /** All references have to outlive the exchange.
+      @param aReplyAddress  address to which members send their answers.
+      @param aIncarnation  distinguishes this process from earlier processes of the same VM. */
+  AttachmentExchange(VmId aSelf,
+                     FailureDomainName aDomain,
+                     std::string aReplyAddress,
+                     std::uint64_t aIncarnation,
+                     std::size_t aMembersPerDomain,
+                     Messenger& aMessenger,
+                     const FleetView& aFleet,
+                     const TableCopy& aOperators,
+                     const TableCopy& aServers,
+                     ClusterState& aCluster,
+                     AnswerHandler aOnAnswer,
+                     SilenceHandler aOnSilence)
+    : self(std::move(aSelf))
+    , domain(std::move(aDomain))
+    , replyAddress(std::move(aReplyAddress))
+    , incarnation(aIncarnation)
+    , membersPerDomain(aMembersPerDomain)
+    , messenger(aMessenger)
+    , fleet(aFleet)
+    , operators(aOperators)
+    , servers(aServers)
+    , cluster(aCluster)
+    , onAnswer(std::move(aOnAnswer))
+    , onSilence(std::move(aOnSilence))
+    , storeCallDelay(
+        static_cast<Duration::rep>(StableHash(this->self.Text()) % kStoreCallSpread.count()))
+  {
+  }
+  AttachmentExchange(const AttachmentExchange&) = delete;
+  AttachmentExchange& operator=(const AttachmentExchange&) = delete;
+  ~AttachmentExchange() = default;
+
+  /** Sets the role of this VM. */
+  void SetRole(Instant aNow, FleetRole aRole)
+  {
+    this->isAttached = aRole == FleetRole::Attached;
+    this->attachedVms.clear();
+    this->pendingNumber = 0;
+    this->failures = 0;
+    // The validity of answers, and the patience with copies, begin now.
+    this->answeredAt = aNow;
+    this->operatorsDifferSince = aNow;
+    this->serversDifferSince = aNow;
+    if (this->isAttached) {
+      this->SendRequest(aNow);
+    }
+  }
+
+  /** Sends the request that is due. Call it several times per kRequestPeriod. */
+  void Step(Instant aNow)
+  {
+    std::erase_if(this->attachedVms, [&](const auto& aEntry) {
+      return aNow - aEntry.second.askedAt >= kAttachedExpiry;
+    });
+    if (!this->isAttached) {
+      return;
+    }
+    if (this->pendingNumber != 0) {
+      if (aNow - this->sentAt >= kAnswerTimeout) {
+        this->PreferNextMember(aNow);
+        this->onSilence(aNow, this->askedMember);
+        this->SendRequest(aNow);
+      }
+    } else if (aNow - this->sentAt >= kRequestPeriod) {
+      this->SendRequest(aNow);
+    }
+  }
+
+  /** Makes the VMs that are attached to this member ask at once. Call it when a copy has
+      changed. */
+  void NotifyAttachedVms()
+  {
+    for (const auto& [vm, attached] : this->attachedVms) {
+      this->Send(attached.address, AttachmentNotice{ this->self });
+    }
+  }
+
+  /** Number of VMs that are attached to this member. */
+  std::uint32_t AttachedCount() const
+  {
+    return static_cast<std::uint32_t>(this->attachedVms.size());
+  }
+
+  /** Whether a member has answered recently. Precondition: this VM is attached. */
+  bool HasMember(Instant aNow) const { return aNow - this->answeredAt < kAnswerValidity; }
+
+  /** Whether this VM needs no watch of the operators' table: a member currently confirms its
+      copy, or is expected to. */
+  bool AreOperatorsCurrent(Instant aNow) const
+  {
+    return this->IsCopyCurrent(aNow, this->operatorsDifferSince) &&
+           (this->operatorsDifferSince ||
+            aNow - this->cluster.ConfirmedAt() < kMaxConfirmationAge + this->storeCallDelay);
+  }
+
+  /** Whether this VM needs no watch of the list of servers. */
+  bool AreServersCurrent(Instant aNow) const
+  {
+    return this->IsCopyCurrent(aNow, this->serversDifferSince);
+  }
+
+  /** Handles a datagram from another VM. Returns false if it is not an attachment message. */
+  bool OnDatagram(Instant aNow, std::string_view aBytes)
+  {
+    const std::optional<AttachmentMessage> message = DecodeAttachmentMessage(aBytes);
+    if (!message) {
+      return false;
+    }
+    if (const auto* request = std::get_if<AttachmentRequest>(&*message)) {
+      this->OnRequest(aNow, *request);
+    } else if (const auto* answer = std::get_if<AttachmentAnswer>(&*message)) {
+      this->OnAnswer(aNow, *answer);
+    } else if (this->isAttached) {
+      this->SendRequest(aNow);
+    }
+    return true;
+  }
+
+private:
+  struct AttachedVm
+  {
+    std::string address;
+    /** Time of its latest request. */
+    Instant askedAt{};
+  };
+
+  bool IsCopyCurrent(Instant aNow, const std::optional<Instant>& aDiffersSince) const
+  {
+    return this->isAttached && this->HasMember(aNow) &&
+           (!aDiffersSince || aNow - *aDiffersSince < kCopyPatience);
+  }
+
+  /** Members in the order in which this VM asks them: those of its failure domain first, and
+      otherwise spread evenly over the VMs. */
+  std::vector<VmId> Candidates() const
+  {
+    std::vector<std::tuple<bool, std::uint64_t, VmId>> ranked;
+    for (const VmId& vm : this->fleet.LiveVms()) {
+      if (vm != this->self && !this->fleet.PeerAddressOf(vm).empty()) {
+        ranked.emplace_back(this->fleet.DomainOf(vm) != this->domain,
+                            StableHash(this->self.Text() + "/" + vm.Text()),
+                            vm);
+      }
+    }
+    std::sort(ranked.begin(), ranked.end());
+    std::vector<VmId> candidates;
+    candidates.reserve(ranked.size());
+    for (auto& [isRemote, hash, vm] : ranked) {
+      candidates.push_back(std::move(vm));
+    }
+    return candidates;
+  }
+
+  void PreferNextMember(Instant aNow)
+  {
+    ++this->failures;
+    this->failedAt = aNow;
+  }
+
+  void SendRequest(Instant aNow)
+  {
+    const std::vector<VmId> candidates = this->Candidates();
+    if (candidates.empty()) {
+      return;
+    }
+    if (this->failures > 0 && this->pendingNumber == 0 &&
+        aNow - this->failedAt >= kPreferenceInterval) {
+      this->failures = 0;
+    }
+    this->askedMember = candidates[this->failures % candidates.size()];
+    this->pendingNumber = ++this->lastNumber;
+    this->sentAt = aNow;
+    this->Send(
+      this->fleet.PeerAddressOf(this->askedMember),
+      AttachmentRequest{
+        this->self, this->replyAddress, this->domain, this->incarnation, this->pendingNumber });
+  }
+
+  void Send(const std::string& aAddress, const AttachmentMessage& aMessage)
+  {
+    this->messenger.Send(aAddress, EncodeAttachmentMessage(aMessage));
+  }
+
+  void OnRequest(Instant aNow, const AttachmentRequest& aRequest)
+  {
+    // A VM that is not a member has nothing to offer, and one without a configuration nothing yet.
+    if (this->isAttached || !this->cluster.HasConfiguration() || !this->fleet.IsLive(this->self)) {
+      return;
+    }
+    this->attachedVms[aRequest.sender] = { aRequest.replyAddress, aNow };
+    this->Send(aRequest.replyAddress,
+               AttachmentAnswer{ aRequest.incarnation,
+                                 aRequest.number,
+                                 this->operators.Digest(),
+                                 aNow - this->cluster.ConfirmedAt(),
+                                 this->servers.Digest(),
+                                 this->Invites(aNow, aRequest.domain),
+                                 this->fleet.Roster() });
+  }
+
+  /** Whether to invite a VM of a failure domain to become a member. Only the first member of the
+      domain does, so that two don't invite one each. */
+  bool Invites(Instant aNow, const FailureDomainName& aDomain)
+  {
+    const std::vector<VmId> members = this->fleet.LiveVmsOf(this->domain);
+    if (aDomain != this->domain || members.size() >= this->membersPerDomain ||
+        members.front() != this->self || aNow - this->invitedAt < kInvitationInterval) {
+      return false;
+    }
+    this->invitedAt = aNow;
+    return true;
+  }
+
+  void OnAnswer(Instant aNow, const AttachmentAnswer& aAnswer)
+  {
+    if (!this->isAttached || aAnswer.incarnation != this->incarnation || aAnswer.number == 0 ||
+        aAnswer.number != this->pendingNumber) {
+      return;
+    }
+    this->pendingNumber = 0;
+    this->answeredAt = aNow;
+    NoteDifference(
+      aNow, aAnswer.operatorDigest == this->operators.Digest(), this->operatorsDifferSince);
+    NoteDifference(aNow, aAnswer.serverDigest == this->servers.Digest(), this->serversDifferSince);
+    if (!this->operatorsDifferSince) {
+      this->cluster.Confirm(this->sentAt - aAnswer.operatorAge);
+    }
+    if (aAnswer.operatorAge >= kStaleConfirmationAge) {
+      this->PreferNextMember(aNow);
+    }
+    this->onAnswer(aNow, aAnswer, this->fleet.PeerAddressOf(this->askedMember));
+  }
+
+  static void NoteDifference(Instant aNow, bool aIsEqual, std::optional<Instant>& aDiffersSince)
+  {
+    if (aIsEqual) {
+      aDiffersSince.reset();
+    } else if (!aDiffersSince) {
+      aDiffersSince = aNow;
+    }
+  }
+
+  VmId self;
+  FailureDomainName domain;
+  std::string replyAddress;
+  std::uint64_t incarnation;
+  std::size_t membersPerDomain;
+  Messenger& messenger;
+  const FleetView& fleet;
+  const TableCopy& operators;
+  const TableCopy& servers;
+  ClusterState& cluster;
+  AnswerHandler onAnswer;
+  SilenceHandler onSilence;
+  /** This VM's part of kStoreCallSpread. */
+  Duration storeCallDelay;
+  bool isAttached = false;
+  /** VMs that are attached to this member. */
+  std::map<VmId, AttachedVm> attachedVms;
+  Instant invitedAt{};
+  std::uint64_t lastNumber = 0;
+  /** Number of the unanswered request, or zero if there is none. */
+  std::uint64_t pendingNumber = 0;
+  Instant sentAt{};
+  Instant answeredAt{};
+  VmId askedMember;
+  /** Number of members that were passed over; decides which one is asked. */
+  std::size_t failures = 0;
+  Instant failedAt{};
+  /** Since when the copies have differed from the member's; nothing while they are equal. */
+  std::optional<Instant> operatorsDifferSince;
+  std::optional<Instant> serversDifferSince;
+};
+
+} // namespace mustardshift::proxy
--- a/packages/proxy/coordination/ChooseDelegates.cpp
+++ b/packages/proxy/coordination/ChooseDelegates.cpp
@@ -1,7 +1,9 @@
 #include "proxy/coordination/ChooseDelegates.h"
 
+#include "proxy/coordination/StableHash.h"
+
 #include <algorithm>
-#include <functional>
+#include <cstdint>
 #include <string>
 #include <utility>
 #include <vector>
@@ -9,19 +11,20 @@
 namespace mustardshift::proxy {
 
 std::set<VmId> ChooseDelegates(std::string_view aTask,
-                               const std::map<VmId, FailureDomainName>& aVms)
+                               const std::map<VmId, FailureDomainName>& aVms,
+                               std::size_t aVmCount)
 {
   std::set<VmId> delegates;
-  if (aVms.size() <= kMaxVmsWithoutDelegates) {
+  if (aVmCount <= kMaxVmsWithoutDelegates) {
     for (const auto& [vm, domain] : aVms) {
       delegates.insert(vm);
     }
     return delegates;
   }
-  std::map<FailureDomainName, std::vector<std::pair<std::size_t, VmId>>> ranked;
+  std::map<FailureDomainName, std::vector<std::pair<std::uint64_t, VmId>>> ranked;
   const std::string prefix = std::string(aTask) + "/";
   for (const auto& [vm, domain] : aVms) {
-    ranked[domain].emplace_back(std::hash<std::string>{}(prefix + vm.Text()), vm);
+    ranked[domain].emplace_back(StableHash(prefix + vm.Text()), vm);
   }
   for (auto& [domain, vms] : ranked) {
     const std::size_t count = std::min(kDelegatesPerDomain, vms.size());
--- a/packages/proxy/coordination/ChooseDelegates.h
+++ b/packages/proxy/coordination/ChooseDelegates.h
@@ -21,10 +21,12 @@
     chosen by rendezvous hashing, so that few choices change when a VM joins or leaves.
 
     @param aTask  name of the task; different tasks are spread over different VMs.
-    @param aVms  the running VMs with their failure domains.
+    @param aVms  the VMs that can be chosen, with their failure domains.
+    @param aVmCount  number of all VMs.
 
     Thread safety: pure. */
 std::set<VmId> ChooseDelegates(std::string_view aTask,
-                               const std::map<VmId, FailureDomainName>& aVms);
+                               const std::map<VmId, FailureDomainName>& aVms,
+                               std::size_t aVmCount);
 
 } // namespace mustardshift::proxy
--- a/packages/proxy/coordination/FleetCoordinator.h
+++ b/packages/proxy/coordination/FleetCoordinator.h
@@ -4,6 +4,7 @@
 #include "core/base/NameTable.h"
 #include "proxy/cluster/ClusterState.h"
 #include "proxy/coordination/ChooseDelegates.h"
+#include "proxy/coordination/FleetRole.h"
 #include "proxy/coordination/FleetView.h"
 #include "proxy/coordination/TableStore.h"
 #include "proxy/log/EventLog.h"
@@ -15,6 +16,7 @@
 #include <cstdint>
 #include <functional>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <utility>
@@ -22,22 +24,21 @@
 
 namespace mustardshift::proxy {
 
-/** Writes this VM's row to the fleet table, reads the rows of the other VMs, and allocates the
-    organisations' rates to VMs. The first live VM by name computes each new allocation and writes
-    it on condition of the row's version.
+/** Decides whether this VM is a member of the fleet or attached to one. A member writes its row to
+    the fleet table, reads the rows of the other members, and allocates the organisations' rates to
+    the members. The first live member by name computes each new allocation and writes it on
+    condition of the row's version.
+
+    A VM becomes a member if its failure domain has fewer members than it should. VMs with little
+    processor time wait longer before they do, so that others come first.
 
     Thread safety: none; one thread owns the object. */
 template<TableStore Store>
 class FleetCoordinator
 {
 public:
-  /** Interval between reads of the table, and between renewals of this VM's row, in a fleet of at
-      most kMaxVmsWithoutDelegates VMs. */
-  static constexpr Duration kSmallFleetPeriod = std::chrono::milliseconds(1500);
-  /** Interval between reads of the table, and between renewals of this VM's row, in a fleet of more
-      than kMaxVmsWithoutDelegates VMs. Longer than kSmallFleetPeriod, because all VMs share the
-      rate limit of the store; short enough for two renewals within a lease. */
-  static constexpr Duration kLargeFleetPeriod = std::chrono::milliseconds(2400);
+  /** Interval between a member's reads of the table, and between renewals of its row. */
+  static constexpr Duration kRenewalPeriod = std::chrono::milliseconds(1500);
   /** Interval between renewals by the holder of the promotion lease; short, so that other VMs soon
       notice when the holder stops. */
   static constexpr Duration kHolderRenewalPeriod = std::chrono::milliseconds(500);
@@ -51,23 +52,48 @@
   static constexpr Duration kMinPlanInterval = std::chrono::milliseconds(3000);
   /** Maximum number of reads, and of writes, that may be unanswered at the same time. */
   static constexpr unsigned kMaxConcurrentCalls = 3;
+  /** Longest pause before a VM becomes a member, and before it reads the table after it has lost
+      its members. Spreads the calls of many VMs. */
+  static constexpr Duration kRegistrationSpread = std::chrono::milliseconds(300);
+  static constexpr Duration kReconsiderationSpread = std::chrono::milliseconds(1000);
+  /** VMs with less than kFastProcessorShare of a core pause for this long more, and for up to
+      kSlowVmSpread in addition: there are many of them, and few should register at the same time.
+   */
+  static constexpr Duration kSlowVmPause = std::chrono::milliseconds(500);
+  static constexpr Duration kSlowVmSpread = std::chrono::milliseconds(1500);
+  static constexpr double kFastProcessorShare = 0.2;
+  /** A failure domain that has had too many members for this long loses one. Longer than it takes
+      until the row of a stopped member is no longer live. */
+  static constexpr Duration kExcessPatience = std::chrono::seconds(10);
 
-  /** @param aPeerAddress  address for datagrams from other VMs; empty if this VM receives none.
+  /** @param aPeerAddress  address for datagrams from other VMs; empty if this VM receives none, and
+                           is therefore always a member.
+      @param aMembersPerDomain  number of members that a failure domain should have.
+      @param aProcessorShare  cores that this VM has.
+      @param aSeed  of the pauses.
       @param aOnRead  called after each read of the table.
+      @param aOnRole  called after each change of the role.
       All references have to outlive the coordinator. */
   FleetCoordinator(VmId aSelf,
                    FailureDomainName aDomain,
                    std::string aPeerAddress,
+                   std::size_t aMembersPerDomain,
+                   double aProcessorShare,
+                   std::uint64_t aSeed,
                    Store& aStore,
                    ClusterState& aCluster,
                    FleetView& aFleet,
                    OrganisationBuckets& aBuckets,
                    Scheduler& aScheduler,
                    EventLog& aLog,
-                   std::function<void(Instant)> aOnRead)
+                   std::function<void(Instant)> aOnRead,
+                   std::function<void(Instant, FleetRole)> aOnRole)
     : self(std::move(aSelf))
     , domain(std::move(aDomain))
     , peerAddress(std::move(aPeerAddress))
+    , membersPerDomain(aMembersPerDomain)
+    , processorShare(aProcessorShare)
+    , random(aSeed)
     , store(aStore)
     , cluster(aCluster)
     , fleet(aFleet)
@@ -75,16 +101,51 @@
     , scheduler(aScheduler)
     , log(aLog)
     , onRead(std::move(aOnRead))
+    , onRole(std::move(aOnRole))
   {
   }
   FleetCoordinator(const FleetCoordinator&) = delete;
   FleetCoordinator& operator=(const FleetCoordinator&) = delete;
   ~FleetCoordinator() = default;
 
-  /** Starts reading the table; this VM's row is first written after the first successful read.
-      Precondition: called once. */
+  /** Starts reading the table, to decide this VM's role. Precondition: called once. */
   void Start(Instant aNow) { this->ReadPeriodically(aNow); }
 
+  FleetRole Role() const { return this->role; }
+
+  /** Handles a roster that an attached VM has received and applied to the FleetView.
+      @param aIsInvited  whether the member asks this VM to become one. */
+  void OnRoster(Instant aNow, bool aIsInvited)
+  {
+    if (this->role != FleetRole::Attached) {
+      return;
+    }
+    const bool isDomainEmpty = this->fleet.LiveVmsOf(this->domain).empty();
+    if (aIsInvited) {
+      this->RegisterIfNeeded(aNow);
+    } else if (!isDomainEmpty) {
+      this->registrationAt.reset();
+    } else if (!this->registrationAt) {
+      this->registrationAt = aNow + this->RegistrationPause() + this->Pause(kReconsiderationSpread);
+    } else if (aNow >= *this->registrationAt) {
+      this->registrationAt.reset();
+      this->RegisterIfNeeded(aNow);
+    }
+  }
+
+  /** Reads the table again after a pause, to decide the role anew. For an attached VM to which no
+      member has answered for a while. */
+  void Reconsider(Instant aNow)
+  {
+    if (this->role == FleetRole::Attached) {
+      this->SetRole(aNow, FleetRole::Undecided);
+      this->ScheduleRead(aNow + this->Pause(kReconsiderationSpread));
+    }
+  }
+
+  /** Sets the number of VMs that are attached to this member. */
+  void SetAttachedVms(std::uint32_t aCount) { this->attachedVms = aCount; }
+
   /** Sets the primaries that this VM can't reach. A change is written to the table at once. */
   void SetUnreachablePrimaries(Instant aNow, std::set<ServerId> aUnreachablePrimaries)
   {
@@ -96,7 +157,7 @@
         aNow, "failover", "primary-unreachable", { { "server", server.Text() } });
     }
     this->unreachablePrimaries = std::move(aUnreachablePrimaries);
-    if (this->hasRead) {
+    if (this->role == FleetRole::Member) {
       this->Renew(aNow);
       this->Read(aNow);
       this->AdvanceNextRead(aNow);
@@ -115,19 +176,27 @@
       configuration. */
   void ApplyShares(Instant aNow)
   {
-    this->buckets.Configure(aNow, this->cluster.Configuration().limits, this->fleet.Allocation());
-    this->activeAllocation = this->fleet.Allocation();
+    // Only members hold shares.
+    this->activeAllocation =
+      this->role == FleetRole::Member ? this->fleet.Allocation() : RateAllocation{};
+    this->buckets.Configure(aNow, this->cluster.Configuration().limits, this->activeAllocation);
     this->AdvanceNextRead(aNow);
   }
 
   /** End of the promotion lease of this VM, if it holds that lease. */
   Instant PromotionLeaseEnd() const
   {
+    if (this->role != FleetRole::Member) {
+      return Instant{};
+    }
     return this->leaseUntil - FleetView::kMemberLease + FleetView::kPromotionLease;
   }
 
-  /** Whether this VM has read the table and its member lease has not expired. */
-  bool IsReady(Instant aNow) const { return this->hasRead && aNow < this->leaseUntil; }
+  /** Whether this VM is a member and its lease has not expired. */
+  bool HasLease(Instant aNow) const
+  {
+    return this->role == FleetRole::Member && aNow < this->leaseUntil;
+  }
 
 private:
   void Read(Instant aNow)
@@ -143,10 +212,87 @@
                      });
   }
 
-  Duration Period() const
+  Duration Pause(Duration aLongest)
   {
-    return this->fleet.Members().size() > kMaxVmsWithoutDelegates ? kLargeFleetPeriod
-                                                                  : kSmallFleetPeriod;
+    return Duration(
+      std::uniform_int_distribution<Duration::rep>(0, aLongest.count())(this->random));
+  }
+
+  Duration RegistrationPause()
+  {
+    return this->processorShare < kFastProcessorShare ? kSlowVmPause + this->Pause(kSlowVmSpread)
+                                                      : this->Pause(kRegistrationSpread);
+  }
+
+  void SetRole(Instant aNow, FleetRole aRole)
+  {
+    this->role = aRole;
+    this->registrationAt.reset();
+    this->inExcessSince.reset();
+    this->scheduler.Cancel(this->nextRead);
+    this->ApplyShares(aNow);
+    this->log.WriteAlways(
+      aNow, "fleet", "role", { { "role", std::string(NameOf(kFleetRoleNames, aRole)) } });
+    this->onRole(aNow, aRole);
+  }
+
+  void BecomeMember(Instant aNow)
+  {
+    this->SetRole(aNow, FleetRole::Member);
+    this->Renew(aNow);
+    this->RenewPeriodically(aNow, ++this->renewalLoop);
+    this->ScheduleRead(aNow + this->ReadPeriod());
+  }
+
+  /** Number of other VMs of this failure domain that are members, according to aFleet. */
+  std::size_t CountOtherMembers(const FleetView& aFleet) const
+  {
+    const auto& members = aFleet.Members();
+    return static_cast<std::size_t>(
+      std::count_if(members.begin(), members.end(), [&](const auto& aEntry) {
+        return aEntry.first != this->self && aEntry.second.row.domain == this->domain &&
+               aFleet.HasRecentRow(aEntry.first);
+      }));
+  }
+
+  /** Reads the table, because rosters are some seconds behind, and becomes a member if the failure
+      domain still needs one. */
+  void RegisterIfNeeded(Instant aNow)
+  {
+    if (this->pendingReads > 0) {
+      return;
+    }
+    ++this->pendingReads;
+    this->store.Read(std::string(FleetView::kTable), [this, aNow](Instant aThen, auto aRows) {
+      --this->pendingReads;
+      if (!aRows || this->role != FleetRole::Attached) {
+        return;
+      }
+      FleetView table;
+      table.ApplyRead(aThen, aNow, *aRows);
+      if (this->CountOtherMembers(table) < this->membersPerDomain) {
+        this->fleet.ApplyRead(aThen, aNow, *aRows);
+        this->latestReadSentAt = aNow;
+        this->latestVersion = std::max(this->latestVersion, aRows->version);
+        this->BecomeMember(aThen);
+      }
+    });
+  }
+
+  /** Decides the role after a read of the table. A process whose VM has a row becomes a member
+      again at once, because the VM's rate shares are reserved for it. */
+  void DecideRole(Instant aNow)
+  {
+    const bool isMemberMissing = this->CountOtherMembers(this->fleet) < this->membersPerDomain;
+    if (!isMemberMissing && !this->peerAddress.empty()) {
+      this->SetRole(aNow, FleetRole::Attached);
+    } else if (this->peerAddress.empty() || this->fleet.Members().contains(this->self) ||
+               (this->registrationAt && aNow >= *this->registrationAt)) {
+      this->BecomeMember(aNow);
+    } else if (!this->registrationAt) {
+      this->registrationAt = aNow + this->RegistrationPause();
+      this->ReadWithin(aNow, *this->registrationAt - aNow);
+    }
   }
 
   Duration ReadPeriod() const
@@ -154,7 +300,7 @@
     const bool readsForPromotion =
       (this->isPromotionPending || !this->unreachablePrimaries.empty()) &&
       this->fleet.IsHolderOrEarlySuccessor(this->self);
-    return readsForPromotion || this->HasUnallocatedRate() ? kFastReadPeriod : this->Period();
+    return readsForPromotion || this->HasUnallocatedRate() ? kFastReadPeriod : kRenewalPeriod;
   }
 
   /** Whether the configuration has an organisation of whose rate no VM holds parts yet. */
@@ -192,7 +338,7 @@
       reads. */
   void AdvanceNextRead(Instant aNow)
   {
-    if (this->hasRead) {
+    if (this->role == FleetRole::Member) {
       this->ReadWithin(aNow, this->ReadPeriod());
     }
   }
@@ -203,6 +349,9 @@
               std::uint64_t aKnownVersion,
               const tl::expected<StoredRows, StoreFailure>& aRows)
   {
+    if (this->role == FleetRole::Attached) {
+      return;
+    }
     if (!aRows) {
       this->log.Write(aNow,
                       "fleet",
@@ -228,8 +377,13 @@
     for (const std::string& key : this->fleet.ApplyRead(aNow, aSentAt, *aRows)) {
       this->log.Write(aNow, "fleet", "malformed-row", { { "key", key } });
     }
-    const bool isFirst = !std::exchange(this->hasRead, true);
-    if (isFirst || this->fleet.Allocation().version != this->activeAllocation.version) {
+    if (this->role == FleetRole::Undecided) {
+      this->DecideRole(aNow);
+      if (this->role != FleetRole::Member) {
+        return;
+      }
+    }
+    if (this->fleet.Allocation().version != this->activeAllocation.version) {
       const bool hasLost = this->HasLostShare();
       this->ApplyShares(aNow);
       this->log.WriteAlways(aNow,
@@ -238,7 +392,7 @@
                             { { "version", std::to_string(this->activeAllocation.version) } });
       // Other VMs receive the parts that this VM gives up only after it has confirmed the new
       // allocation.
-      if (isFirst || hasLost) {
+      if (hasLost) {
         this->Renew(aNow);
       }
     }
@@ -247,12 +401,29 @@
     if (this->renewalAfterExpiry && this->renewalAnsweredAt <= aSentAt) {
       this->ExtendLease(*std::exchange(this->renewalAfterExpiry, std::nullopt));
     }
-    if (isFirst) {
-      this->RenewPeriodically(aNow);
-    }
     this->PlanRates(aNow);
     this->RemoveExpiredRow(aNow);
     this->onRead(aNow);
+    this->LeaveIfInExcess(aNow);
+  }
+
+  /** Stops being a member if the failure domain has too many of them, of which this one has the
+     last name. Several VMs can become members at the same time. The row is left to expire, because
+     the rate shares stay in use until the lease ends. */
+  void LeaveIfInExcess(Instant aNow)
+  {
+    const std::vector<VmId> members = this->fleet.LiveVmsOf(this->domain);
+    const auto& lease = this->fleet.PromotionLease();
+    const bool isInExcess = members.size() > this->membersPerDomain &&
+                            members.back() == this->self && !this->peerAddress.empty() &&
+                            !(lease && lease->holder == this->self);
+    if (!isInExcess) {
+      this->inExcessSince.reset();
+    } else if (!this->inExcessSince) {
+      this->inExcessSince = aNow;
+    } else if (aNow - *this->inExcessSince >= kExcessPatience) {
+      this->SetRole(aNow, FleetRole::Attached);
+    }
   }
 
   /** Whether the allocation that was just read takes parts from this VM. */
@@ -265,9 +436,9 @@
     });
   }
 
-  /** Demand that is reported for the allocation of rates. In a fleet with delegates, a VM that
-      holds no parts of an organisation's rate does not report its demand: the VMs that hold parts
-      learn of this demand from requests for tokens, and the row would only be longer. */
+  /** Demand that is reported for the allocation of rates. In a fleet with delegates, a member that
+      holds no parts of an organisation's rate does not report its demand: the members that hold
+      parts learn of this demand from requests for tokens, and the row would only be longer. */
   std::map<OrganisationName, double> ReportedDemand(Instant aNow) const
   {
     std::map<OrganisationName, double> demand = this->buckets.Demand(aNow);
@@ -279,15 +450,19 @@
     return demand;
   }
 
-  void RenewPeriodically(Instant aNow)
+  /** @param aLoop  the loop ends when a later one has been started. */
+  void RenewPeriodically(Instant aNow, std::uint64_t aLoop)
   {
-    this->scheduler.Schedule(aNow + kHolderRenewalPeriod, [this](Instant aThen) {
+    this->scheduler.Schedule(aNow + kHolderRenewalPeriod, [this, aLoop](Instant aThen) {
+      if (this->role != FleetRole::Member || aLoop != this->renewalLoop) {
+        return;
+      }
       const auto& lease = this->fleet.PromotionLease();
       const bool isHolder = lease && lease->holder == this->self;
-      if (isHolder || aThen - this->renewedAt >= this->Period()) {
+      if (isHolder || aThen - this->renewedAt >= kRenewalPeriod) {
         this->Renew(aThen);
       }
-      this->RenewPeriodically(aThen);
+      this->RenewPeriodically(aThen, aLoop);
     });
   }
 
@@ -305,7 +480,8 @@
                          this->peerAddress,
                          this->activeAllocation.version,
                          this->ReportedDemand(aNow),
-                         this->unreachablePrimaries };
+                         this->unreachablePrimaries,
+                         this->attachedVms };
     this->store.Write(RowChange{ std::string(FleetView::kTable),
                                  FleetView::MemberKey(this->self),
                                  EncodeMemberRow(row),
@@ -400,6 +576,9 @@
   VmId self;
   FailureDomainName domain;
   std::string peerAddress;
+  std::size_t membersPerDomain;
+  double processorShare;
+  std::mt19937_64 random;
   Store& store;
   ClusterState& cluster;
   FleetView& fleet;
@@ -407,7 +586,15 @@
   Scheduler& scheduler;
   EventLog& log;
   std::function<void(Instant)> onRead;
-  bool hasRead = false;
+  std::function<void(Instant, FleetRole)> onRole;
+  FleetRole role = FleetRole::Undecided;
+  /** Time at which this VM becomes a member if its failure domain still needs one. */
+  std::optional<Instant> registrationAt;
+  /** Since when the failure domain has had too many members, and this VM is the one to leave. */
+  std::optional<Instant> inExcessSince;
+  std::uint32_t attachedVms = 0;
+  /** Number of the current loop of renewals. */
+  std::uint64_t renewalLoop = 0;
   bool isPromotionPending = false;
   bool isPlanning = false;
   Instant nextPlanAt{};
--- /dev/null
+++ b/packages/proxy/coordination/FleetRole.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <algorithm>
+#include <array>
+#include <cstddef>
+#include <string_view>
+#include <utility>
+
+namespace mustardshift::proxy {
+
+/** How a VM takes part in the fleet. */
+enum class FleetRole
+{
+  /** The VM has not read the fleet's table yet, or has lost the members that it was attached to. */
+  Undecided,
+  /** The VM has a row in the fleet's table: it holds rate shares, watches the store's tables,
+      queries primaries, and can hold the promotion lease. */
+  Member,
+  /** The VM learns what it needs from a member and makes no calls to the store. */
+  Attached,
+};
+
+inline constexpr std::array<std::pair<FleetRole, std::string_view>, 3> kFleetRoleNames{ {
+  { FleetRole::Undecided, "undecided" },
+  { FleetRole::Member, "member" },
+  { FleetRole::Attached, "attached" },
+} };
+
+/** Number of members that the whole fleet should have. Does not grow with the fleet, so that the
+    load on the store does not either. */
+inline constexpr std::size_t kWantedMembers = 12;
+/** Bounds of the number of members of one failure domain. With two, one remains when the other
+    stops. */
+inline constexpr std::size_t kMinMembersPerDomain = 2;
+inline constexpr std::size_t kMaxMembersPerDomain = 4;
+
+/** Number of members that each of aDomainCount failure domains should have. Thread safety: pure. */
+constexpr std::size_t MembersPerDomain(std::size_t aDomainCount)
+{
+  const std::size_t domains = std::max<std::size_t>(aDomainCount, 1);
+  return std::clamp(
+    (kWantedMembers + domains - 1) / domains, kMinMembersPerDomain, kMaxMembersPerDomain);
+}
+
+} // namespace mustardshift::proxy
--- a/packages/proxy/coordination/FleetView.cpp
+++ b/packages/proxy/coordination/FleetView.cpp
@@ -53,6 +53,7 @@
   }
   this->members = std::move(presentMembers);
   this->delegates.clear();
+  this->rosterVmCount.reset();
   this->readSentAt = aSentAt;
   this->readAnsweredAt = aNow;
   this->storeTime = aRows.storeTime;
@@ -62,6 +63,48 @@
   return malformed;
 }
 
+void FleetView::ApplyRoster(Instant aNow, const FleetRoster& aRoster)
+{
+  this->members.clear();
+  for (const RosterEntry& entry : aRoster.members) {
+    MemberRow row;
+    row.domain = entry.domain;
+    row.peerAddress = entry.peerAddress;
+    this->members[entry.vm] = Member{ std::move(row), 0, aNow };
+  }
+  this->delegates.clear();
+  this->rosterVmCount = aRoster.vmCount;
+  this->readSentAt = aNow;
+  this->readCompleteUntil.reset();
+  this->allocation = {};
+  this->promotionLease.reset();
+}
+
+FleetRoster FleetView::Roster() const
+{
+  FleetRoster roster;
+  for (const VmId& vm : this->LiveVms()) {
+    const MemberRow& row = this->members.at(vm).row;
+    roster.members.push_back({ vm, row.domain, row.peerAddress });
+  }
+  roster.vmCount = static_cast<std::uint32_t>(this->VmCount());
+  return roster;
+}
+
+std::size_t FleetView::VmCount() const
+{
+  if (this->rosterVmCount) {
+    return std::max<std::size_t>(1, *this->rosterVmCount);
+  }
+  std::size_t count = 0;
+  for (const auto& [vm, member] : this->members) {
+    // The VMs of a member that has stopped attach themselves to others.
+    count += this->HasMemberExpired(vm) ? 0 : 1;
+    count += this->IsLive(vm) ? member.row.attachedVms : 0;
+  }
+  return std::max<std::size_t>(1, count);
+}
+
 std::optional<std::chrono::milliseconds> FleetView::EarliestStoreTime(Instant aNow) const
 {
   if (!this->storeTime) {
@@ -161,6 +204,23 @@
   return liveVms;
 }
 
+std::vector<VmId> FleetView::LiveVmsOf(const FailureDomainName& aDomain) const
+{
+  std::vector<VmId> vms = this->LiveVms();
+  std::erase_if(vms, [&](const VmId& aVm) { return this->DomainOf(aVm) != aDomain; });
+  return vms;
+}
+
+bool FleetView::HasRecentRow(const VmId& aVm) const
+{
+  const auto member = this->members.find(aVm);
+  if (member == this->members.end()) {
+    return false;
+  }
+  const std::chrono::milliseconds sentAt = member->second.row.latestSendTime;
+  return !this->storeTime || sentAt.count() == 0 || *this->storeTime - sentAt < kLivenessTimeout;
+}
+
 FailureDomainName FleetView::DomainOf(const VmId& aVm) const
 {
   const auto member = this->members.find(aVm);
@@ -192,7 +252,7 @@
     for (const VmId& vm : this->LiveVms()) {
       liveVms[vm] = this->DomainOf(vm);
     }
-    entry->second = ChooseDelegates(aTask, liveVms);
+    entry->second = ChooseDelegates(aTask, liveVms, this->VmCount());
   }
   return entry->second;
 }
--- a/packages/proxy/coordination/FleetView.h
+++ b/packages/proxy/coordination/FleetView.h
@@ -2,6 +2,7 @@
 
 #include "core/base/Instant.h"
 #include "core/base/Names.h"
+#include "proxy/coordination/FleetRoster.h"
 #include "proxy/coordination/MemberRow.h"
 #include "proxy/coordination/PromotionLeaseRow.h"
 #include "proxy/coordination/StoredRow.h"
@@ -20,7 +21,7 @@
 namespace mustardshift::proxy {
 
 /** This VM's view of the fleet table: the rows as of the latest read, and for how long each VM's
-    row has not changed.
+    row has not changed. A VM that is attached to a member knows the members from rosters instead.
 
     There are two ways to detect that a VM has not written its row for some time. Either all reads
     for that time have returned the same row, measured by the clock of this VM; or the row was sent
@@ -51,8 +52,7 @@
       pending. */
   static constexpr std::ptrdiff_t kEarlySuccessors = 3;
   /** A VM counts as live while its row has changed within this time; this covers three renewals
-      at FleetCoordinator::kSmallFleetPeriod, 1,500 ms, but only one at kLargeFleetPeriod, 2,400 ms.
-      Reports of VMs that are not live are ignored. */
+      of FleetCoordinator::kRenewalPeriod. Reports of VMs that are not live are ignored. */
   static constexpr Duration kLivenessTimeout = std::chrono::milliseconds(4500);
 
   /** A row that has not changed for this long is removed. A VM that still runs writes its row
@@ -78,6 +78,20 @@
       @param aSentAt  time just before the read was sent. */
   std::vector<std::string> ApplyRead(Instant aNow, Instant aSentAt, const StoredRows& aRows);
 
+  /** Replaces the members by those of a roster, all of which are live. Forgets the division of the
+      rates, which attached VMs don't use. */
+  void ApplyRoster(Instant aNow, const FleetRoster& aRoster);
+
+  /** Whether the members are those of a roster. */
+  bool IsFromRoster() const { return this->rosterVmCount.has_value(); }
+
+  /** The live members, and the number of all VMs that run. */
+  FleetRoster Roster() const;
+
+  /** Number of VMs that may have connections to database servers: the members whose lease has not
+      expired, and the VMs attached to them. At least one. */
+  std::size_t VmCount() const;
+
   /** Lower and upper bound of the store's time at an instant of this VM's clock, computed from the
       latest read; nothing if the store did not report its time. */
   std::optional<std::chrono::milliseconds> EarliestStoreTime(Instant aNow) const;
@@ -111,6 +125,12 @@
   bool MayClaimPromotionLease(const VmId& aVm) const;
   /** Live VMs in ascending order of their names. */
   std::vector<VmId> LiveVms() const;
+  /** Live VMs of a failure domain in ascending order of their names. */
+  std::vector<VmId> LiveVmsOf(const FailureDomainName& aDomain) const;
+  /** Whether the store's clock shows that a VM wrote its row within kLivenessTimeout before the
+      latest read. Unlike IsLive(), this can be wrong about a read that was behind; it suffices to
+      decide whether a member can be asked. */
+  bool HasRecentRow(const VmId& aVm) const;
   /** Failure domain that a VM has published in its row; empty if the VM has no row. */
   FailureDomainName DomainOf(const VmId& aVm) const;
   /** Address for datagrams to a VM; empty if unknown. */
@@ -153,6 +173,8 @@
   std::uint64_t allocationRowVersion = 0;
   std::optional<PromotionLeaseRow> promotionLease;
   std::uint64_t promotionLeaseRowVersion = 0;
+  /** Number of all VMs, if the members are those of a roster. */
+  std::optional<std::uint32_t> rosterVmCount;
 };
 
 } // namespace mustardshift::proxy
--- a/packages/proxy/coordination/MemberRow.cpp
+++ b/packages/proxy/coordination/MemberRow.cpp
@@ -1,17 +1,28 @@
 #include "proxy/coordination/MemberRow.h"
 
 #include "core/base/BoundedCbor.h"
+#include "core/base/JsonNumber.h"
 
+#include <algorithm>
+#include <limits>
 #include <nlohmann/json.hpp>
 
 namespace mustardshift::proxy {
 
+namespace {
+
+/** Latest store time that a row may state, in milliseconds; sums with it do not overflow. */
+constexpr std::int64_t kMaxStoreTimeMs = std::int64_t{ 1 } << 52;
+
+} // namespace
+
 std::string EncodeMemberRow(const MemberRow& aRow)
 {
   nlohmann::json demand = nlohmann::json::object();
   for (const auto& [organisation, rate] : aRow.demand) {
     // Tenths are precise enough and take fewer bytes than a floating-point number.
-    const auto tenths = static_cast<std::uint32_t>(rate * 10);
+    const auto tenths = static_cast<std::uint32_t>(
+      std::clamp(rate * 10, 0.0, double{ std::numeric_limits<std::uint32_t>::max() }));
     if (tenths > 0) {
       demand[organisation.Text()] = tenths;
     }
@@ -26,7 +37,8 @@
                   { "peer", aRow.peerAddress },
                   { "allocation", aRow.allocationVersion },
                   { "demand", std::move(demand) },
-                  { "unreachable", std::move(unreachable) } });
+                  { "unreachable", std::move(unreachable) },
+                  { "attached", aRow.attachedVms } });
 }
 
 std::optional<MemberRow> DecodeMemberRow(std::string_view aBytes)
@@ -37,17 +49,24 @@
   }
   try {
     MemberRow row;
-    row.sequence = value->at("sequence").get<std::uint64_t>();
-    row.latestSendTime = std::chrono::milliseconds(value->value("sent_by", std::int64_t{ 0 }));
+    row.sequence = IntegerOf<std::uint64_t>(value->at("sequence"));
+    if (value->contains("sent_by")) {
+      row.latestSendTime = std::chrono::milliseconds(
+        IntegerOf<std::int64_t>(value->at("sent_by"), 0, kMaxStoreTimeMs));
+    }
     row.domain = FailureDomainName(value->value("domain", std::string()));
     row.peerAddress = value->at("peer").get<std::string>();
-    row.allocationVersion = value->at("allocation").get<std::uint64_t>();
+    row.allocationVersion = IntegerOf<std::uint64_t>(value->at("allocation"));
     for (const auto& [organisation, tenths] : value->at("demand").items()) {
-      row.demand[OrganisationName(organisation)] = tenths.get<double>() / 10;
+      row.demand[OrganisationName(organisation)] =
+        DoubleOf(tenths, 0, std::numeric_limits<std::uint32_t>::max()) / 10;
     }
     for (const auto& server : value->at("unreachable")) {
       row.unreachablePrimaries.insert(ServerId(server.get<std::string>()));
     }
+    if (value->contains("attached")) {
+      row.attachedVms = IntegerOf<std::uint32_t>(value->at("attached"));
+    }
     return row;
   } catch (const nlohmann::json::exception&) {
     return std::nullopt;
--- a/packages/proxy/coordination/MemberRow.h
+++ b/packages/proxy/coordination/MemberRow.h
@@ -13,8 +13,8 @@
 
 namespace mustardshift::proxy {
 
-/** Status that each VM publishes in the store, every FleetCoordinator::kSmallFleetPeriod (1,500 ms)
-    or kLargeFleetPeriod (2,400 ms); the holder of the promotion lease does so more often. */
+/** Status that each member of the fleet publishes in the store, every
+    FleetCoordinator::kRenewalPeriod; the holder of the promotion lease does so more often. */
 struct MemberRow
 {
   /** Number of the write within this process, so that each write changes the row. */
@@ -31,6 +31,8 @@
   std::map<OrganisationName, double> demand;
   /** Primaries that this VM can't reach. */
   std::set<ServerId> unreachablePrimaries;
+  /** Number of VMs that are attached to this member. */
+  std::uint32_t attachedVms = 0;
 
   friend bool operator==(const MemberRow&, const MemberRow&) = default;
 };
--- a/packages/proxy/coordination/TableCopy.cpp
+++ b/packages/proxy/coordination/TableCopy.cpp
@@ -1,29 +1,38 @@
-#include "proxy/coordination/OperatorTableDigest.h"
+#include "proxy/coordination/TableCopy.h"
 
-#include <functional>
+#include "proxy/coordination/StableHash.h"
 
 namespace mustardshift::proxy {
 
-void OperatorTableDigest::ReplaceRows(const std::vector<StoredRow>& aRows)
+void TableCopy::ReplaceRows(const StoredRows& aRows)
 {
-  this->versions.clear();
+  this->rows.clear();
+  this->digest = 0;
   this->ApplyRowChanges(aRows);
 }
 
-void OperatorTableDigest::ApplyRowChanges(const std::vector<StoredRow>& aRows)
+void TableCopy::ApplyRowChanges(const StoredRows& aRows)
 {
-  for (const StoredRow& row : aRows) {
+  for (const StoredRow& row : aRows.rows) {
     if (row.isRemoved) {
-      this->versions.erase(row.key);
+      this->rows.erase(row.key);
     } else {
-      this->versions[row.key] = row.version;
+      this->rows[row.key] = row;
     }
   }
+  this->version = aRows.version;
+  if (!aRows.rows.empty() || this->digest == 0) {
+    this->UpdateDigest();
+  }
+}
+
+void TableCopy::UpdateDigest()
+{
   std::string text;
-  for (const auto& [key, version] : this->versions) {
-    text += key + '\n' + std::to_string(version) + '\n';
+  for (const auto& [key, row] : this->rows) {
+    text += key + '\n' + std::to_string(row.version) + '\n';
   }
-  this->value = std::hash<std::string>{}(text);
+  this->digest = StableHash(text);
 }
 
 } // namespace mustardshift::proxy
--- a/packages/proxy/coordination/TableCopy.h
+++ b/packages/proxy/coordination/TableCopy.h
@@ -9,24 +9,31 @@
 
 namespace mustardshift::proxy {
 
-/** Computes a digest of the operators' table from the versions of its rows, so that VMs can compare
-    their copies.
+/** A VM's copy of a table of the store. VMs compare their copies by a digest of the rows' versions,
+    and pass whole copies to each other.
 
     Thread safety: none; one thread owns the object. */
-class OperatorTableDigest
+class TableCopy
 {
 public:
   /** Replaces all rows by the result of reading the whole table. */
-  void ReplaceRows(const std::vector<StoredRow>& aRows);
+  void ReplaceRows(const StoredRows& aRows);
   /** Applies added, changed and removed rows. */
-  void ApplyRowChanges(const std::vector<StoredRow>& aRows);
+  void ApplyRowChanges(const StoredRows& aRows);
 
+  /** Rows in the order of their keys. */
+  const std::map<std::string, StoredRow>& Rows() const { return this->rows; }
+  /** Version of the store that the rows reflect; zero before the first read. */
+  std::uint64_t Version() const { return this->version; }
   /** Digest of the rows: equal for equal copies, and zero before the first read. */
-  std::uint64_t Value() const { return this->value; }
+  std::uint64_t Digest() const { return this->digest; }
 
 private:
-  std::map<std::string, std::uint64_t> versions;
-  std::uint64_t value = 0;
+  void UpdateDigest();
+
+  std::map<std::string, StoredRow> rows;
+  std::uint64_t version = 0;
+  std::uint64_t digest = 0;
 };
 
 } // namespace mustardshift::proxy
--- a/packages/proxy/coordination/TableFollower.h
+++ b/packages/proxy/coordination/TableFollower.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "core/base/NameTable.h"
+#include "proxy/coordination/PeerTableReader.h"
+#include "proxy/coordination/TableCopy.h"
 #include "proxy/coordination/TableStore.h"
 #include "proxy/log/EventLog.h"
 #include "proxy/schedule/Scheduler.h"
@@ -15,10 +17,11 @@
 namespace mustardshift::proxy {
 
 /** Keeps a local copy of a table up to date: reads the whole table, then watches it for changes.
-    Reads the whole table again if the store no longer has the history of changes.
+    Reads the whole table again if the store no longer has the history of changes. While other VMs
+    keep the copy current (see SetSkipStore()), makes no calls to the store.
 
     Thread safety: none; one thread owns the object. */
-template<TableStore Store>
+template<TableStore Store, PeerTableReader Peers>
 class TableFollower
 {
 public:
@@ -37,20 +40,28 @@
       kMaxBackoff. */
   static constexpr Duration kInitialBackoff = std::chrono::milliseconds(200);
   static constexpr Duration kMaxBackoff = std::chrono::milliseconds(500);
+  /** The same if the store is only a fallback, which many VMs then call at the same time. */
+  static constexpr Duration kInitialFallbackBackoff = std::chrono::milliseconds(1000);
+  static constexpr Duration kMaxFallbackBackoff = std::chrono::milliseconds(4000);
 
-  /** @param aWait  how long the store may delay its answer to a watch that has no changes to
+  /** @param aCopy  receives the rows before the handlers do.
+      @param aWait  how long the store may delay its answer to a watch that has no changes to
                     report.
-      aStore, aScheduler and aLog have to outlive the follower. */
+      All references have to outlive the follower. */
   TableFollower(Store& aStore,
+                Peers& aPeers,
                 Scheduler& aScheduler,
                 EventLog& aLog,
                 std::string aTable,
+                TableCopy& aCopy,
                 Duration aWait,
                 Handlers aHandlers)
     : store(aStore)
+    , peers(aPeers)
     , scheduler(aScheduler)
     , log(aLog)
     , table(std::move(aTable))
+    , copy(aCopy)
     , wait(aWait)
     , handlers(std::move(aHandlers))
   {
@@ -60,43 +71,94 @@
   ~TableFollower() = default;
 
   /** Starts by reading the whole table. Precondition: called once. */
-  void Start(Instant aNow) { this->ReadTable(aNow); }
+  void Start(Instant aNow) { this->CallStore(aNow); }
 
-  /** Sets a predicate that tells whether the copy is known to be current by other means. While it
-      returns true, the follower sends no watches. */
-  void SetSkipWatch(std::function<bool(Instant)> aSkipWatch)
+  /** Sets a predicate that tells whether the copy is current, or soon will be, by other means.
+      While it returns true, the follower makes no calls to the store. */
+  void SetSkipStore(std::function<bool(Instant)> aSkipStore)
   {
-    this->skipWatch = std::move(aSkipWatch);
+    this->skipStore = std::move(aSkipStore);
+  }
+
+  /** Sets whether other VMs are the usual source of the copy, so that calls to the store are only a
+      fallback. */
+  void SetStoreIsFallback(bool aIsFallback) { this->isStoreFallback = aIsFallback; }
+
+  /** Replaces the copy by that of another VM, unless that one is older. Does nothing while an
+      earlier call is unanswered. */
+  void ReadFromPeer(Instant /*aNow*/, const std::string& aAddress)
+  {
+    if (this->isReadingPeer) {
+      return;
+    }
+    this->isReadingPeer = true;
+    this->peers.ReadTable(aAddress, this->table, [this](Instant aThen, const auto& aRows) {
+      this->isReadingPeer = false;
+      this->OnPeerRows(aThen, aRows);
+    });
   }
 
 private:
+  /** Reads or watches the table, once the copy is no longer current by other means. */
+  void CallStore(Instant aNow)
+  {
+    if (this->skipStore && this->skipStore(aNow)) {
+      this->scheduler.Schedule(aNow + kSkipCheckInterval,
+                               [this](Instant aThen) { this->CallStore(aThen); });
+    } else if (this->hasSnapshot) {
+      this->Watch(aNow);
+    } else {
+      this->ReadTable(aNow);
+    }
+  }
+
   void ReadTable(Instant aNow)
   {
-    this->hasSnapshot = false;
-    this->store.Read(this->table, [this, aNow](Instant aThen, auto aRows) {
-      this->OnAnswer(aThen, aNow, std::move(aRows), this->handlers.snapshot);
-    });
+    this->store.Read(this->table,
+                     [this, aNow, replaced = this->peerCopies](Instant aThen, auto aRows) {
+                       this->OnAnswer(aThen, aNow, replaced, true, std::move(aRows));
+                     });
   }
 
   void Watch(Instant aNow)
   {
-    if (this->skipWatch && this->skipWatch(aNow)) {
-      this->scheduler.Schedule(aNow + kResumeWatchCheckInterval,
-                               [this](Instant aThen) { this->Watch(aThen); });
-      return;
-    }
     // After a failure the store should answer at once, because any answer confirms the copy.
     const Duration longest = this->failures > 0 ? Duration(0) : this->wait;
-    this->store.Watch(this->table, this->version, longest, [this, aNow](Instant aThen, auto aRows) {
-      this->OnAnswer(aThen, aNow, std::move(aRows), this->handlers.changes);
-    });
+    this->store.Watch(this->table,
+                      this->copy.Version(),
+                      longest,
+                      [this, aNow, replaced = this->peerCopies](Instant aThen, auto aRows) {
+                        this->OnAnswer(aThen, aNow, replaced, false, std::move(aRows));
+                      });
   }
 
-  template<class Handler>
+  void OnPeerRows(Instant aNow, const tl::expected<StoredRows, StoreFailure>& aRows)
+  {
+    if (!aRows) {
+      this->log.Write(aNow,
+                      "peer",
+                      "table-not-read",
+                      { { "table", this->table },
+                        { "failure", std::string(NameOf(kStoreFailureNames, aRows.error())) } });
+      return;
+    }
+    if (aRows->version < this->latestVersion) {
+      return;
+    }
+    ++this->peerCopies;
+    this->hasSnapshot = true;
+    this->latestVersion = aRows->version;
+    this->copy.ReplaceRows(*aRows);
+    this->handlers.snapshot(aNow, aRows->rows);
+  }
+
+  /** @param aPeerCopies  number of copies that had been received from other VMs when the call was
+                          sent. */
   void OnAnswer(Instant aNow,
                 Instant aSentAt,
-                tl::expected<StoredRows, StoreFailure> aRows,
-                const Handler& aHandler)
+                std::uint64_t aPeerCopies,
+                bool aIsSnapshot,
+                tl::expected<StoredRows, StoreFailure> aRows)
   {
     if (!aRows) {
       this->OnFailure(aNow, aRows.error());
@@ -106,16 +168,26 @@
       this->log.WriteAlways(aNow, "store", "regained", { { "table", this->table } });
     }
     this->failures = 0;
+    if (aPeerCopies != this->peerCopies && aRows->version < this->latestVersion) {
+      // The rows are older than those that another VM has sent meanwhile.
+      this->CallStore(aNow);
+      return;
+    }
     this->hasSnapshot = true;
-    aHandler(aNow, aRows->rows);
     // A read of the whole table can return an older version than one seen before. The watch then
     // delivers the changes since that version.
-    this->version = aRows->version;
-    if (this->version >= this->latestVersion) {
-      this->latestVersion = this->version;
+    if (aIsSnapshot) {
+      this->copy.ReplaceRows(*aRows);
+      this->handlers.snapshot(aNow, aRows->rows);
+    } else {
+      this->copy.ApplyRowChanges(*aRows);
+      this->handlers.changes(aNow, aRows->rows);
+    }
+    if (aRows->version >= this->latestVersion) {
+      this->latestVersion = aRows->version;
       this->handlers.confirmed(aSentAt);
     }
-    this->Watch(aNow);
+    this->CallStore(aNow);
   }
 
   void OnFailure(Instant aNow, StoreFailure aFailure)
@@ -130,36 +202,36 @@
     if (aFailure == StoreFailure::HistoryLost) {
       this->hasSnapshot = false;
     }
+    const int doublings = std::min(this->failures - 1, kMaxDoublings);
     const Duration pause =
-      std::min(kMaxBackoff, kInitialBackoff * (1 << std::min(this->failures - 1, kMaxDoublings)));
+      this->isStoreFallback
+        ? std::min(kMaxFallbackBackoff, kInitialFallbackBackoff * (1 << doublings))
+        : std::min(kMaxBackoff, kInitialBackoff * (1 << doublings));
     this->scheduler.Schedule(aNow +
                                (aFailure == StoreFailure::HistoryLost ? kHistoryLostPause : pause),
-                             [this](Instant aThen) {
-                               if (this->hasSnapshot) {
-                                 this->Watch(aThen);
-                               } else {
-                                 this->ReadTable(aThen);
-                               }
-                             });
+                             [this](Instant aThen) { this->CallStore(aThen); });
   }
 
-  /** While SetSkipWatch()'s predicate is true: interval between checks whether watches have to be
-      resumed. */
-  static constexpr Duration kResumeWatchCheckInterval = std::chrono::milliseconds(100);
+  /** Interval between checks whether calls to the store have to be resumed. */
+  static constexpr Duration kSkipCheckInterval = std::chrono::milliseconds(200);
   static constexpr int kMaxDoublings = 4;
   /** Delay before the whole table is read again because its history was lost. Limits the rate of
       reads if the store loses its history repeatedly. */
   static constexpr Duration kHistoryLostPause = std::chrono::milliseconds(20);
 
   Store& store;
+  Peers& peers;
   Scheduler& scheduler;
   EventLog& log;
   std::string table;
+  TableCopy& copy;
   Duration wait;
   Handlers handlers;
-  std::function<bool(Instant)> skipWatch;
-  /** Version of the store that the local copy of the table reflects. */
-  std::uint64_t version = 0;
+  std::function<bool(Instant)> skipStore;
+  bool isStoreFallback = false;
+  bool isReadingPeer = false;
+  /** Number of copies that were received from other VMs. */
+  std::uint64_t peerCopies = 0;
   /** Latest version that the store has reported. */
   std::uint64_t latestVersion = 0;
   bool hasSnapshot = false;
--- a/packages/proxy/position/PositionExchange.h
+++ b/packages/proxy/position/PositionExchange.h
@@ -33,22 +33,30 @@
 class PositionExchange
 {
 public:
+  /** Age from which a position is requested again. Well below the staleness limits that routes
+      have. */
+  static constexpr Duration kMaxPositionAge = std::chrono::milliseconds(400);
   /** Time after which a request counts as failed and the next one is sent: several round trips to
       another failure domain, on a loaded VM. */
   static constexpr Duration kAnswerTimeout = std::chrono::milliseconds(100);
-  /** Number of consecutive failed requests after which a VM queries the primary itself. */
+  /** Number of consecutive failed requests after which a VM queries the primaries itself. */
   static constexpr unsigned kMaxFailures = 3;
+  /** Largest number of groups in one request, so that the answer fits into one datagram. */
+  static constexpr std::size_t kMaxGroupsPerRequest = 24;
 
-  /** @param aIncarnation  distinguishes this process from earlier processes of the same VM.
+  /** @param aReplyAddress  address to which other VMs send their answers.
+      @param aIncarnation  distinguishes this process from earlier processes of the same VM.
       All references have to outlive the exchange. */
   PositionExchange(VmId aSelf,
                    FailureDomainName aDomain,
+                   std::string aReplyAddress,
                    std::uint64_t aIncarnation,
                    Messenger& aMessenger,
                    const FleetView& aFleet,
                    PositionTable& aPositions)
     : self(std::move(aSelf))
     , domain(std::move(aDomain))
+    , replyAddress(std::move(aReplyAddress))
     , incarnation(aIncarnation)
     , messenger(aMessenger)
     , fleet(aFleet)
@@ -59,26 +67,55 @@
   PositionExchange& operator=(const PositionExchange&) = delete;
   ~PositionExchange() = default;
 
-  /** Requests the position of a group's primary if the known one is older than aMaxAge. Returns
-      whether this VM has to query the primary itself: because it is a delegate for the group, or
-      because kMaxFailures requests have brought no position that is recent enough. */
-  bool Fetch(Instant aNow, const DatabaseName& aGroup, Duration aMaxAge)
+  /** Returns whether this VM has to query the primary of a group itself: because it is a delegate
+      for the group, or because kMaxFailures requests have brought no position that is recent
+      enough. Otherwise notes the group for SendRequests(), if its position is old. */
+  bool MustProbe(Instant aNow, const DatabaseName& aGroup)
   {
     const std::set<VmId>& probers = this->fleet.Probers(aGroup);
     if (probers.empty() || probers.contains(this->self)) {
       return true;
     }
-    PendingRequest& pending = this->pendingRequests[aGroup];
+    OutdatedGroup& group = this->groups[aGroup];
     const auto lastObservedAt = this->positions.LastObserved(aGroup);
-    if (lastObservedAt && aNow - *lastObservedAt < aMaxAge) {
-      pending.failures = 0;
+    if (lastObservedAt && aNow - *lastObservedAt < kMaxPositionAge) {
+      group.failures = 0;
+      group.isOutdated = false;
       return false;
     }
-    if (pending.number == 0 || aNow - pending.sentAt >= kAnswerTimeout) {
-      pending.failures += pending.number != 0 ? 1 : 0;
-      this->SendRequest(aNow, aGroup, pending);
+    group.isOutdated = true;
+    return group.failures >= kMaxFailures;
+  }
+
+  /** Requests the positions of the groups that MustProbe() has noted, from one delegate each. */
+  void SendRequests(Instant aNow)
+  {
+    std::map<VmId, std::vector<DatabaseName>> groupsByProber;
+    for (auto& [name, group] : this->groups) {
+      if (!group.isOutdated || (group.pendingNumber != 0 && aNow - group.sentAt < kAnswerTimeout)) {
+        continue;
+      }
+      if (std::exchange(group.pendingNumber, 0) != 0) {
+        ++group.failures;
+      }
+      const std::vector<VmId> probers =
+        this->fleet.DelegatesNearestFirst(name.Text(), this->domain);
+      if (probers.empty()) {
+        continue;
+      }
+      // As long as answers arrive, rotates among the delegates of the own failure domain.
+      const std::size_t candidateCount =
+        group.failures == 0 ? std::min(probers.size(), kDelegatesPerDomain) : probers.size();
+      groupsByProber[probers[this->rounds % candidateCount]].push_back(name);
+    }
+    ++this->rounds;
+    for (const auto& [prober, names] : groupsByProber) {
+      for (std::size_t first = 0; first < names.size(); first += kMaxGroupsPerRequest) {
+        const auto begin = names.begin() + static_cast<std::ptrdiff_t>(first);
+        const auto count = std::min(names.size() - first, kMaxGroupsPerRequest);
+        this->SendRequest(aNow, prober, { begin, begin + static_cast<std::ptrdiff_t>(count) });
+      }
     }
-    return pending.failures >= kMaxFailures;
   }
 
   /** Handles a datagram from another VM. Returns false if it is not a position message. */
@@ -97,71 +134,73 @@
   }
 
 private:
-  /** The latest request for a group's position. */
-  struct PendingRequest
+  /** A group for which this VM is no delegate. */
+  struct OutdatedGroup
   {
+    bool isOutdated = false;
     /** Number of the request that awaits an answer; zero if none does. */
-    std::uint64_t number = 0;
+    std::uint64_t pendingNumber = 0;
     Instant sentAt{};
     unsigned failures = 0;
-    /** Number of requests sent so far; successive requests go to different VMs. */
-    std::size_t requestsSent = 0;
   };
 
-  void SendRequest(Instant aNow, const DatabaseName& aGroup, PendingRequest& aPending)
-  {
-    const std::vector<VmId> probers =
-      this->fleet.DelegatesNearestFirst(aGroup.Text(), this->domain);
-    // As long as answers arrive, rotates among the delegates of the own failure domain.
-    const std::size_t candidateCount =
-      aPending.failures == 0 ? std::min(probers.size(), kDelegatesPerDomain) : probers.size();
-    const VmId& prober = probers[aPending.requestsSent % candidateCount];
-    ++aPending.requestsSent;
-    aPending.number = ++this->lastRequestNumber;
-    aPending.sentAt = aNow;
-    this->Send(prober, PositionRequest{ this->self, this->incarnation, aPending.number, aGroup });
-  }
-
-  void Send(const VmId& aVm, const PositionMessage& aMessage)
+  void SendRequest(Instant aNow, const VmId& aProber, std::vector<DatabaseName> aGroups)
   {
-    const std::string address = this->fleet.PeerAddressOf(aVm);
+    const std::uint64_t number = ++this->lastRequestNumber;
+    for (const DatabaseName& name : aGroups) {
+      OutdatedGroup& group = this->groups[name];
+      group.pendingNumber = number;
+      group.sentAt = aNow;
+    }
+    const std::string address = this->fleet.PeerAddressOf(aProber);
     if (!address.empty()) {
-      this->messenger.Send(address, EncodePositionMessage(aMessage));
+      this->messenger.Send(
+        address,
+        EncodePositionMessage(PositionRequest{
+          this->self, this->replyAddress, this->incarnation, number, std::move(aGroups) }));
     }
   }
 
   void OnRequest(Instant aNow, const PositionRequest& aRequest)
   {
-    if (const auto latest = this->positions.Latest(aRequest.group)) {
-      this->Send(
-        aRequest.sender,
-        PositionAnswer{
-          aRequest.incarnation, aRequest.number, latest->position, aNow - latest->sentAt });
+    PositionAnswer answer{ aRequest.incarnation, aRequest.number, {} };
+    for (const DatabaseName& group : aRequest.groups) {
+      const auto latest = this->positions.Latest(group);
+      if (latest && answer.positions.size() < kMaxGroupsPerRequest) {
+        answer.positions.push_back({ group, latest->position, aNow - latest->sentAt });
+      }
+    }
+    if (!answer.positions.empty()) {
+      this->messenger.Send(aRequest.replyAddress, EncodePositionMessage(answer));
     }
   }
 
   void OnAnswer(const PositionAnswer& aAnswer)
   {
-    const auto pending =
-      std::find_if(this->pendingRequests.begin(),
-                   this->pendingRequests.end(),
-                   [&](const auto& aEntry) { return aEntry.second.number == aAnswer.number; });
-    if (aAnswer.incarnation != this->incarnation || aAnswer.number == 0 ||
-        pending == this->pendingRequests.end()) {
+    if (aAnswer.incarnation != this->incarnation || aAnswer.number == 0) {
       return;
     }
-    pending->second.number = 0;
-    this->positions.Observe(pending->first, pending->second.sentAt - aAnswer.age, aAnswer.position);
+    for (const GroupPosition& entry : aAnswer.positions) {
+      const auto group = this->groups.find(entry.group);
+      if (group == this->groups.end() || group->second.pendingNumber != aAnswer.number) {
+        continue;
+      }
+      group->second.pendingNumber = 0;
+      this->positions.Observe(entry.group, group->second.sentAt - entry.age, entry.position);
+    }
   }
 
   VmId self;
   FailureDomainName domain;
+  std::string replyAddress;
   std::uint64_t incarnation;
   Messenger& messenger;
   const FleetView& fleet;
   PositionTable& positions;
-  std::map<DatabaseName, PendingRequest> pendingRequests;
+  std::map<DatabaseName, OutdatedGroup> groups;
   std::uint64_t lastRequestNumber = 0;
+  /** Number of calls of SendRequests(); successive requests go to different VMs. */
+  std::size_t rounds = 0;
 };
 
 } // namespace mustardshift::proxy
--- a/packages/proxy/position/PositionMessage.cpp
+++ b/packages/proxy/position/PositionMessage.cpp
@@ -1,6 +1,7 @@
 #include "proxy/position/PositionMessage.h"
 
 #include "core/base/BoundedCbor.h"
+#include "core/base/JsonNumber.h"
 
 #include <nlohmann/json.hpp>
 
@@ -12,21 +13,57 @@
 
 json ToJson(const PositionRequest& aRequest)
 {
-  return { { "position_of", aRequest.group.Text() },
+  json groups = json::array();
+  for (const DatabaseName& group : aRequest.groups) {
+    groups.push_back(group.Text());
+  }
+  return { { "positions_of", std::move(groups) },
            { "vm", aRequest.sender.Text() },
+           { "reply_to", aRequest.replyAddress },
            { "incarnation", aRequest.incarnation },
            { "number", aRequest.number } };
 }
 
 json ToJson(const PositionAnswer& aAnswer)
 {
-  return { { "term", aAnswer.position.term },
-           { "offset", aAnswer.position.offset },
-           { "age_us", aAnswer.age.count() },
+  json positions = json::array();
+  for (const GroupPosition& entry : aAnswer.positions) {
+    positions.push_back(
+      { entry.group.Text(), entry.position.term, entry.position.offset, entry.age.count() });
+  }
+  return { { "positions", std::move(positions) },
            { "incarnation", aAnswer.incarnation },
            { "number", aAnswer.number } };
 }
 
+PositionRequest DecodeRequest(const json& aValue)
+{
+  PositionRequest request;
+  request.sender = VmId(aValue.at("vm").get<std::string>());
+  request.replyAddress = aValue.at("reply_to").get<std::string>();
+  request.incarnation = IntegerOf<std::uint64_t>(aValue.at("incarnation"));
+  request.number = IntegerOf<std::uint64_t>(aValue.at("number"));
+  for (const json& group : aValue.at("positions_of")) {
+    request.groups.emplace_back(group.get<std::string>());
+  }
+  return request;
+}
+
+PositionAnswer DecodeAnswer(const json& aValue)
+{
+  PositionAnswer answer;
+  answer.incarnation = IntegerOf<std::uint64_t>(aValue.at("incarnation"));
+  answer.number = IntegerOf<std::uint64_t>(aValue.at("number"));
+  for (const json& entry : aValue.at("positions")) {
+    // A negative age would date a position into the future.
+    answer.positions.push_back(
+      { DatabaseName(entry.at(0).get<std::string>()),
+        { IntegerOf<std::uint64_t>(entry.at(1)), IntegerOf<std::uint64_t>(entry.at(2)) },
+        Duration(IntegerOf<std::int64_t>(entry.at(3), 0)) });
+  }
+  return answer;
+}
+
 } // namespace
 
 std::string EncodePositionMessage(const PositionMessage& aMessage)
@@ -41,23 +78,10 @@
     return std::nullopt;
   }
   try {
-    const auto incarnation = value->at("incarnation").get<std::uint64_t>();
-    const auto number = value->at("number").get<std::uint64_t>();
-    if (value->contains("position_of")) {
-      return PositionRequest{ VmId(value->at("vm").get<std::string>()),
-                              incarnation,
-                              number,
-                              DatabaseName(value->at("position_of").get<std::string>()) };
-    }
-    const json& age = value->at("age_us");
-    if (!age.is_number_unsigned()) {
-      return std::nullopt;
+    if (value->contains("positions_of")) {
+      return DecodeRequest(*value);
     }
-    return PositionAnswer{ incarnation,
-                           number,
-                           { value->at("term").get<std::uint64_t>(),
-                             value->at("offset").get<std::uint64_t>() },
-                           Duration(age.get<std::int64_t>()) };
+    return DecodeAnswer(*value);
   } catch (const json::exception&) {
     return std::nullopt;
   }
--- a/packages/proxy/position/PositionMessage.h
+++ b/packages/proxy/position/PositionMessage.h
@@ -9,31 +9,42 @@
 #include <string>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 namespace mustardshift::proxy {
 
-/** Asks a VM for the latest known log position of a group's primary. */
+/** Asks another VM for the positions of the primaries of some groups. */
 struct PositionRequest
 {
   VmId sender;
-  /** Incarnation of the sending process and number of the request within that process; together
-      they identify a request. */
+  /** Address for the answer, "IP:port". */
+  std::string replyAddress;
+  /** Identify the request in the answer. */
   std::uint64_t incarnation = 0;
   std::uint64_t number = 0;
-  DatabaseName group;
+  std::vector<DatabaseName> groups;
 
   friend bool operator==(const PositionRequest&, const PositionRequest&) = default;
 };
 
-/** Answers a PositionRequest. */
+/** Position that a group's primary confirmed. */
+struct GroupPosition
+{
+  DatabaseName group;
+  LogPosition position;
+  /** Time since just before the sender asked the primary. */
+  Duration age{ 0 };
+
+  friend bool operator==(const GroupPosition&, const GroupPosition&) = default;
+};
+
 struct PositionAnswer
 {
-  /** Incarnation and number of the request that is answered. */
+  /** Copied from the request. */
   std::uint64_t incarnation = 0;
   std::uint64_t number = 0;
-  LogPosition position;
-  /** Age of the position when the answer is sent. */
-  Duration age{ 0 };
+  /** Positions of the requested groups that the sender knows. */
+  std::vector<GroupPosition> positions;
 
   friend bool operator==(const PositionAnswer&, const PositionAnswer&) = default;
 };
--- a/packages/proxy/rate/OrganisationBuckets.cpp
+++ b/packages/proxy/rate/OrganisationBuckets.cpp
@@ -48,11 +48,11 @@
 bool OrganisationBuckets::TryTake(Instant aNow, const OrganisationName& aOrganisation)
 {
   const auto found = this->entries.find(aOrganisation);
-  if (found == this->entries.end() || aNow >= this->leaseExpiresAt) {
+  if (found == this->entries.end()) {
     return false;
   }
   Entry& entry = found->second;
-  if (entry.bucket.TryTake(aNow)) {
+  if (aNow < this->leaseExpiresAt && entry.bucket.TryTake(aNow)) {
     return true;
   }
   if (entry.receivedTokens == 0 || aNow >= entry.receivedTokensExpireAt) {
--- a/packages/proxy/rate/OrganisationBuckets.h
+++ b/packages/proxy/rate/OrganisationBuckets.h
@@ -47,7 +47,8 @@
   /** Counts tokens requested by a VM that has no parts of its own. */
   void CountPeerDemand(Instant aNow, const OrganisationName& aOrganisation, std::uint32_t aCount);
 
-  /** Takes a token. Returns false if none is available or the lease has expired. */
+  /** Takes a token: of this VM's share while its lease lasts, or one that another VM has lent.
+      Returns false if none is available. */
   bool TryTake(Instant aNow, const OrganisationName& aOrganisation);
 
   /** Returns the instant at which the next token becomes available, or nothing if none will. */
--- a/packages/proxy/rate/PlanRateAllocation.cpp
+++ b/packages/proxy/rate/PlanRateAllocation.cpp
@@ -238,7 +238,7 @@
                     }) > 0;
   for (const auto& [organisation, limit] : aLimits) {
     Shares& shares = next.shares[organisation];
-    const std::set<VmId> delegates = ChooseDelegates(organisation.Text(), domains);
+    const std::set<VmId> delegates = ChooseDelegates(organisation.Text(), domains, domains.size());
     const std::vector<const AllocationMember*> holders = SelectMembers(liveMembers, delegates);
     const bool hasReleased = ReleaseConfirmedParts(shares, members);
     const bool hasRevoked = RevokeFromOthers(shares, delegates, next.version);
--- a/packages/proxy/rate/TokenExchange.h
+++ b/packages/proxy/rate/TokenExchange.h
@@ -42,13 +42,18 @@
   /** Largest number of tokens requested in addition to those for waiting operations, so that the
       next operations find tokens. Limited to the number expected to be used before they expire. */
   static constexpr std::uint32_t kMaxPrefetch = 2;
+  /** A lender that did not reply is asked only after all others for this long, or until it replies.
+      Longer than it takes until a VM that has stopped is no longer live. */
+  static constexpr Duration kSilentLenderPause = std::chrono::milliseconds(5000);
   /** Seconds of its own demand for which a lender keeps tokens. */
   static constexpr double kLenderReserveSeconds = 0.3;
 
-  /** @param aIncarnation  distinguishes this process from earlier processes of the same VM.
+  /** @param aReplyAddress  address to which other VMs send their replies.
+      @param aIncarnation  distinguishes this process from earlier processes of the same VM.
       All references must outlive the exchange. */
   TokenExchange(VmId aSelf,
                 FailureDomainName aDomain,
+                std::string aReplyAddress,
                 std::uint64_t aIncarnation,
                 Messenger& aMessenger,
                 const FleetView& aFleet,
@@ -57,6 +62,7 @@
                 Scheduler& aScheduler)
     : self(std::move(aSelf))
     , domain(std::move(aDomain))
+    , replyAddress(std::move(aReplyAddress))
     , incarnation(aIncarnation)
     , messenger(aMessenger)
     , fleet(aFleet)
@@ -89,6 +95,9 @@
     return true;
   }
 
+  /** Records that a VM does not answer. It is asked only after all others for a while. */
+  void MarkSilent(Instant aNow, const VmId& aVm) { this->silentLenders[aVm] = aNow; }
+
 private:
   /** State of the requests for tokens of one organisation. */
   struct PendingRequest
@@ -110,7 +119,7 @@
     if (aNow < pending.backoffUntil) {
       return false;
     }
-    pending.lenders = this->ChooseLenders(aOrganisation);
+    pending.lenders = this->ChooseLenders(aNow, aOrganisation);
     return this->AskNextLender(aNow, aOrganisation);
   }
 
@@ -118,9 +127,9 @@
 
       If this VM has parts of the rate, these are the VMs whose share of the rate exceeds their own
       demand. If this VM has no parts, these are all VMs that have parts, starting with those of its
-      own failure domain. Each call starts at another VM, so that requests are spread over all
-      lenders. */
-  std::vector<VmId> ChooseLenders(const OrganisationName& aOrganisation)
+      own failure domain; a VM that is attached does not know who has parts and asks all members.
+     Each call starts at another VM, so that requests are spread over all lenders. */
+  std::vector<VmId> ChooseLenders(Instant aNow, const OrganisationName& aOrganisation)
   {
     const RateAllocation& allocation = this->fleet.Allocation();
     const bool hasParts = allocation.PartsOf(aOrganisation, this->self) > 0;
@@ -134,7 +143,7 @@
       const std::uint32_t parts = allocation.PartsOf(aOrganisation, vm);
       const bool isSpare = this->buckets.RateOfParts(aOrganisation, parts) >
                            (demand == row.demand.end() ? 0.0 : demand->second);
-      if (hasParts ? isSpare : parts > 0) {
+      if (hasParts ? isSpare : parts > 0 || this->fleet.IsFromRoster()) {
         lenders.push_back(vm);
       }
     }
@@ -146,6 +155,11 @@
           return this->fleet.DomainOf(aVm) == this->domain;
         });
       }
+      std::erase_if(this->silentLenders,
+                    [&](const auto& aEntry) { return aNow - aEntry.second >= kSilentLenderPause; });
+      std::stable_partition(lenders.begin(), lenders.end(), [this](const VmId& aVm) {
+        return !this->silentLenders.contains(aVm);
+      });
       lenders.resize(std::min(lenders.size(), kMaxLenders));
     }
     return lenders;
@@ -169,6 +183,7 @@
     const std::uint64_t requestNumber = ++this->lastRequestNumber;
     pending.requestNumber = requestNumber;
     const TokenRequest request{ this->self,
+                                this->replyAddress,
                                 this->incarnation,
                                 requestNumber,
                                 aOrganisation,
@@ -176,8 +191,9 @@
                                   this->PrefetchCount(aNow, aOrganisation) };
     this->messenger.Send(member->second.row.peerAddress, EncodeTokenMessage(request));
     this->scheduler.Schedule(
-      aNow + kReplyTimeout, [this, aOrganisation, requestNumber](Instant aThen) {
+      aNow + kReplyTimeout, [this, aOrganisation, lender, requestNumber](Instant aThen) {
         if (this->pendingRequests[aOrganisation].requestNumber == requestNumber) {
+          this->MarkSilent(aThen, lender);
           this->AskNextLender(aThen, aOrganisation);
         }
       });
@@ -194,17 +210,13 @@
 
   void OnRequest(Instant aNow, const TokenRequest& aRequest)
   {
-    const std::string address = this->fleet.PeerAddressOf(aRequest.sender);
-    if (address.empty()) {
-      return;
-    }
     if (this->fleet.Allocation().PartsOf(aRequest.organisation, aRequest.sender) == 0) {
       this->buckets.CountPeerDemand(aNow, aRequest.organisation, aRequest.wantedCount);
     }
     const std::uint32_t lentCount = this->buckets.TakeSpare(
       aNow, aRequest.organisation, aRequest.wantedCount, kLenderReserveSeconds);
     const TokenGrant grant{ this->self, aRequest.incarnation, aRequest.requestNumber, lentCount };
-    this->messenger.Send(address, EncodeTokenMessage(grant));
+    this->messenger.Send(aRequest.replyAddress, EncodeTokenMessage(grant));
   }
 
   void OnGrant(Instant aNow, const TokenGrant& aGrant)
@@ -212,6 +224,7 @@
     if (aGrant.incarnation != this->incarnation) {
       return;
     }
+    this->silentLenders.erase(aGrant.sender);
     const auto pending = std::find_if(
       this->pendingRequests.begin(), this->pendingRequests.end(), [&](const auto& aEntry) {
         return aEntry.second.requestNumber == aGrant.requestNumber;
@@ -232,6 +245,7 @@
 
   VmId self;
   FailureDomainName domain;
+  std::string replyAddress;
   std::uint64_t incarnation;
   Messenger& messenger;
   const FleetView& fleet;
@@ -239,6 +253,8 @@
   Throttler& throttler;
   Scheduler& scheduler;
   std::map<OrganisationName, PendingRequest> pendingRequests;
+  /** Lenders that did not reply, each with the time at which this was noticed. */
+  std::map<VmId, Instant> silentLenders;
   std::uint64_t lastRequestNumber = 0;
   std::size_t nextLender = 0;
 };
--- a/packages/proxy/rate/TokenMessage.cpp
+++ b/packages/proxy/rate/TokenMessage.cpp
@@ -1,6 +1,7 @@
 #include "proxy/rate/TokenMessage.h"
 
 #include "core/base/BoundedCbor.h"
+#include "core/base/JsonNumber.h"
 
 #include <nlohmann/json.hpp>
 
@@ -12,11 +13,11 @@
 
 json ToJson(const TokenRequest& aRequest)
 {
-  return { { "ask", aRequest.wantedCount },
-           { "vm", aRequest.sender.Text() },
-           { "incarnation", aRequest.incarnation },
-           { "number", aRequest.requestNumber },
-           { "organisation", aRequest.organisation.Text() } };
+  return {
+    { "ask", aRequest.wantedCount },       { "vm", aRequest.sender.Text() },
+    { "reply_to", aRequest.replyAddress }, { "incarnation", aRequest.incarnation },
+    { "number", aRequest.requestNumber },  { "organisation", aRequest.organisation.Text() }
+  };
 }
 
 json ToJson(const TokenGrant& aGrant)
@@ -42,17 +43,18 @@
   }
   try {
     const VmId sender(value->at("vm").get<std::string>());
-    const auto incarnation = value->at("incarnation").get<std::uint64_t>();
-    const auto requestNumber = value->at("number").get<std::uint64_t>();
+    const auto incarnation = IntegerOf<std::uint64_t>(value->at("incarnation"));
+    const auto requestNumber = IntegerOf<std::uint64_t>(value->at("number"));
     if (value->contains("ask")) {
       return TokenRequest{ sender,
+                           value->at("reply_to").get<std::string>(),
                            incarnation,
                            requestNumber,
                            OrganisationName(value->at("organisation").get<std::string>()),
-                           value->at("ask").get<std::uint32_t>() };
+                           IntegerOf<std::uint32_t>(value->at("ask")) };
     }
     return TokenGrant{
-      sender, incarnation, requestNumber, value->at("grant").get<std::uint32_t>()
+      sender, incarnation, requestNumber, IntegerOf<std::uint32_t>(value->at("grant"))
     };
   } catch (const json::exception&) {
     return std::nullopt;
--- a/packages/proxy/rate/TokenMessage.h
+++ b/packages/proxy/rate/TokenMessage.h
@@ -14,6 +14,8 @@
 struct TokenRequest
 {
   VmId sender;
+  /** Address for the reply, "IP:port". */
+  std::string replyAddress;
   /** Start of the requesting process in microseconds of the VM's boot clock. Together with
       requestNumber it identifies a request. */
   std::uint64_t incarnation = 0;
--- a/packages/proxy/tests/FleetSimulation.h
+++ b/packages/proxy/tests/FleetSimulation.h
@@ -83,6 +83,18 @@
   }
 };
 
+/** Reads copies of tables from other simulated VMs; satisfies PeerTableReader. */
+struct FakePeerTables
+{
+  std::function<void(const std::string&, const std::string&, const RowsHandler&)> read;
+  void ReadTable(const std::string& aAddress,
+                 const std::string& aTable,
+                 const RowsHandler& aHandler)
+  {
+    this->read(aAddress, aTable, aHandler);
+  }
+};
+
 /** Decodes the rows that FleetSimulation writes; satisfies RecordDecoder. Configurations have the
     format "VERSION KEY=ORGANISATION ...", servers "ROLE STATE GROUP". */
 struct FakeDecoder
@@ -103,6 +115,7 @@
                              StoreConnection,
                              FakePromotionOrderSender,
                              FakeMessenger,
+                             FakePeerTables,
                              FakeDecoder>;
   using Session = ClientSession<FakeNetwork>;
 
@@ -110,12 +123,16 @@
   {
     std::string name;
     FailureDomainName domain;
+    /** Cores. */
+    double processorShare = 1;
     std::unique_ptr<StoreConnection> store;
     std::unique_ptr<Proxy> proxy;
   };
 
   /** Number of failure domains that the VMs are spread over. */
   static constexpr std::size_t kFailureDomainCount = 4;
+  /** Number of VMs that have a whole core; further ones have a tenth. */
+  static constexpr std::size_t kFastVms = 16;
 
   /** Starts the VMs and advances the time until they are ready. */
   FleetSimulation(std::size_t aVms, unsigned aSeed);
@@ -144,6 +161,11 @@
   FakeNetwork network{ this->scheduler };
   FakePromotionOrderSender orders{ this->scheduler };
   FakeMessenger messenger;
+  FakePeerTables peerTables;
+  /** VMs to which datagrams are lost. */
+  std::set<std::string> unreachablePeers;
+  /** Number of copies of tables that VMs have read from each other. */
+  std::size_t peerReadCount = 0;
   std::vector<std::string> lines;
   EventLog log{ [this](std::string aLine) { this->lines.push_back(std::move(aLine)); }, 1e9 };
   std::vector<Vm> vms;
--- /dev/null
+++ b/packages/proxy/tests/MembershipHistoryTest.cpp
@@ -0,0 +1,271 @@
+#include "proxy/tests/FleetSimulation.h"
+#include "support/Section.h"
+
+#include <algorithm>
+#include <cppunit/extensions/HelperMacros.h>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace mustardshift::proxy {
+
+using mustardshift::test::Section;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using test::FleetSimulation;
+
+namespace {
+
+std::size_t CountRole(const FleetSimulation& aFleet, FleetRole aRole)
+{
+  return static_cast<std::size_t>(
+    std::count_if(aFleet.vms.begin(), aFleet.vms.end(), [&](const auto& aVm) {
+      return aVm.proxy->Role() == aRole;
+    }));
+}
+
+std::size_t CountReady(const FleetSimulation& aFleet)
+{
+  return static_cast<std::size_t>(
+    std::count_if(aFleet.vms.begin(), aFleet.vms.end(), [&](const auto& aVm) {
+      return aVm.proxy->IsReady(aFleet.now);
+    }));
+}
+
+/** Runs one statement on each VM and returns how many were served. */
+std::size_t CountServed(FleetSimulation& aFleet, const std::string& aKey)
+{
+  std::size_t servedCount = 0;
+  for (std::size_t vm = 0; vm < aFleet.vms.size(); ++vm) {
+    aFleet.RunStatement(vm, "board", aKey, "READ slot-1", [&](Instant, const ClientReply& aReply) {
+      servedCount += aReply.error ? 0 : 1;
+    });
+    // Half of the organisation's rate: parts of it are reserved while their holders are gone.
+    aFleet.Advance(milliseconds(33));
+  }
+  aFleet.Advance(milliseconds(500));
+  return servedCount;
+}
+
+double CallsPerSecond(FleetSimulation& aFleet, seconds aTime)
+{
+  const std::size_t before = aFleet.store.callCount;
+  aFleet.Advance(aTime);
+  return static_cast<double>(aFleet.store.callCount - before) / static_cast<double>(aTime.count());
+}
+
+} // namespace
+
+/** Histories of fleets in which most VMs are attached to a few members: guards against load on the
+    store that grows with the fleet, and against VMs that stay without a member. */
+class MembershipHistoryTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(MembershipHistoryTest);
+  CPPUNIT_TEST(StoreCallsDoNotGrowWithTheFleet);
+  CPPUNIT_TEST(SmallFleetsHaveMembersOnly);
+  CPPUNIT_TEST(ChangesReachAttachedVmsAtOnce);
+  CPPUNIT_TEST(MembersThatStopAreReplaced);
+  CPPUNIT_TEST(MostVmsMayStopAtOnce);
+  CPPUNIT_TEST(ExcessMembersLeave);
+  CPPUNIT_TEST(SilentAttachedVmsKeepServing);
+  CPPUNIT_TEST(StoreOutagesCauseNoStampede);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  /** The pattern of a fleet of hundreds of VMs: each call to the store has a price, and all VMs
+      share its rates. */
+  void StoreCallsDoNotGrowWithTheFleet()
+  {
+    std::map<std::size_t, double> callsPerSecond;
+    for (const std::size_t vms : { std::size_t(20), std::size_t(300), std::size_t(800) }) {
+      FleetSimulation fleet(vms, 101);
+      Section(std::to_string(vms) + " VMs are ready after their start",
+              [&] { CPPUNIT_ASSERT_EQUAL(vms, CountReady(fleet)); });
+      Section("the start takes at most four calls of each VM, and those of the members", [&] {
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(fleet.store.callCount),
+                               fleet.store.callCount <= 4 * vms + 30 * kWantedMembers);
+      });
+      // Until the members in excess have left.
+      fleet.Advance(seconds(15));
+      callsPerSecond[vms] = CallsPerSecond(fleet, seconds(5));
+      Section("the connections are divided among all VMs", [&] {
+        // VMs whose member has left are counted twice for some seconds.
+        const std::size_t count = fleet.vms.back().proxy->Fleet().VmCount();
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(count), count >= vms && count <= vms + vms / 5);
+      });
+    }
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(callsPerSecond[800]), callsPerSecond[800] < 60);
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(callsPerSecond[300]) + " and " +
+                             std::to_string(callsPerSecond[20]),
+                           callsPerSecond[300] < 1.5 * callsPerSecond[20]);
+  }
+
+  void SmallFleetsHaveMembersOnly()
+  {
+    FleetSimulation fleet(9, 102);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(9), CountRole(fleet, FleetRole::Member));
+  }
+
+  /** An attached VM has to know of an evacuation well before the bound of the operators, of which a
+      draining primary takes the larger part. */
+  void ChangesReachAttachedVmsAtOnce()
+  {
+    FleetSimulation fleet(60, 103);
+    fleet.Advance(seconds(12));
+    const std::size_t callsBefore = fleet.store.callCount;
+    const auto readyAtAll = [&](std::size_t aCount) {
+      return std::all_of(fleet.vms.begin(), fleet.vms.end(), [&](const auto& aVm) {
+        return aVm.proxy->Cluster().ReadyServers(DatabaseName("fittings")).size() == aCount;
+      });
+    };
+    Section("a failure domain goes out of service", [&] {
+      fleet.store.Put("operators", "evacuate-domain-s3", "{}");
+      fleet.Advance(milliseconds(300));
+      CPPUNIT_ASSERT(readyAtAll(2));
+    });
+    Section("it comes back", [&] {
+      fleet.store.Remove("operators", "evacuate-domain-s3");
+      fleet.Advance(milliseconds(300));
+      CPPUNIT_ASSERT(readyAtAll(3));
+    });
+    Section("a server begins to drain", [&] {
+      fleet.store.Put("servers", "s2", "replica draining fittings");
+      fleet.Advance(milliseconds(300));
+      CPPUNIT_ASSERT(readyAtAll(2));
+    });
+    Section("a key is withdrawn", [&] {
+      fleet.Configure({ "key-green=green" });
+      fleet.Advance(milliseconds(300));
+      CPPUNIT_ASSERT_EQUAL(std::size_t(0), CountServed(fleet, "key-blue"));
+    });
+    Section("the attached VMs read the changes from members, not from the store", [&] {
+      // Four changes, each read by the members' watches.
+      const double calls = static_cast<double>(fleet.store.callCount - callsBefore);
+      const double elapsed = 4 * 0.3 + 60 * 0.033 + 0.5;
+      CPPUNIT_ASSERT_MESSAGE(std::to_string(calls), calls < 60 * elapsed + 4 * 2 * kWantedMembers);
+      CPPUNIT_ASSERT(fleet.peerReadCount > 0);
+    });
+  }
+
+  void MembersThatStopAreReplaced()
+  {
+    FleetSimulation fleet(60, 104);
+    fleet.Advance(seconds(12));
+    const FailureDomainName domain = fleet.vms[0].domain;
+    const auto stopMembersOfDomain = [&] {
+      std::size_t stopped = 0;
+      for (std::size_t index = fleet.vms.size(); index-- > 0;) {
+        if (fleet.vms[index].domain == domain &&
+            fleet.vms[index].proxy->Role() == FleetRole::Member) {
+          fleet.Kill(index);
+          ++stopped;
+        }
+      }
+      return stopped;
+    };
+    const auto membersOfDomain = [&] {
+      return std::count_if(fleet.vms.begin(), fleet.vms.end(), [&](const auto& aVm) {
+        return aVm.domain == domain && aVm.proxy->Role() == FleetRole::Member;
+      });
+    };
+    Section("all members of a failure domain stop at once", [&] {
+      CPPUNIT_ASSERT(stopMembersOfDomain() >= 2);
+      fleet.Advance(milliseconds(2500));
+      Section("the VMs attached to them are served by others", [&] {
+        CPPUNIT_ASSERT_EQUAL(fleet.vms.size(), CountReady(fleet));
+        CPPUNIT_ASSERT_EQUAL(fleet.vms.size(), CountServed(fleet, "key-green"));
+      });
+      fleet.Advance(seconds(25));
+      CPPUNIT_ASSERT_EQUAL(MembersPerDomain(FleetSimulation::kFailureDomainCount),
+                           static_cast<std::size_t>(membersOfDomain()));
+    });
+    Section("one member stops, and one VM is invited in its place", [&] {
+      for (std::size_t index = 0; index < fleet.vms.size(); ++index) {
+        if (fleet.vms[index].domain == domain &&
+            fleet.vms[index].proxy->Role() == FleetRole::Member) {
+          fleet.Kill(index);
+          break;
+        }
+      }
+      fleet.Advance(seconds(12));
+      CPPUNIT_ASSERT_EQUAL(MembersPerDomain(FleetSimulation::kFailureDomainCount),
+                           static_cast<std::size_t>(membersOfDomain()));
+    });
+  }
+
+  /** 55 % of the VMs are killed and start again at the same moment. */
+  void MostVmsMayStopAtOnce()
+  {
+    for (unsigned seed = 1; seed <= 5; ++seed) {
+      FleetSimulation fleet(100, 110 + seed);
+      fleet.Advance(seconds(5));
+      for (std::size_t vm = 0; vm < fleet.vms.size(); ++vm) {
+        if (fleet.random() % 100 < 55) {
+          fleet.Restart(vm);
+        }
+      }
+      fleet.Advance(milliseconds(3500));
+      CPPUNIT_ASSERT_EQUAL(fleet.vms.size(), CountReady(fleet));
+      CPPUNIT_ASSERT(CountServed(fleet, "key-green") >= 95);
+    }
+    Section("all of them", [] {
+      FleetSimulation fleet(100, 120);
+      fleet.Advance(seconds(5));
+      for (std::size_t vm = 0; vm < fleet.vms.size(); ++vm) {
+        fleet.Restart(vm);
+      }
+      fleet.Advance(milliseconds(3500));
+      CPPUNIT_ASSERT_EQUAL(fleet.vms.size(), CountReady(fleet));
+    });
+  }
+
+  void ExcessMembersLeave()
+  {
+    FleetSimulation fleet(200, 121);
+    fleet.Advance(seconds(60));
+    CPPUNIT_ASSERT_EQUAL(kWantedMembers, CountRole(fleet, FleetRole::Member));
+    CPPUNIT_ASSERT_EQUAL(fleet.vms.size(), CountReady(fleet));
+    Section("their rates are held by the others",
+            [&] { CPPUNIT_ASSERT(CountServed(fleet, "key-green") >= 195); });
+  }
+
+  /** Guards against a VM whose messages are lost for a while being given up: it keeps its sessions
+      and serves until its configuration can't be trusted any longer. */
+  void SilentAttachedVmsKeepServing()
+  {
+    FleetSimulation fleet(60, 122);
+    fleet.Advance(seconds(12));
+    const auto attached = std::find_if(fleet.vms.begin(), fleet.vms.end(), [](const auto& aVm) {
+      return aVm.proxy->Role() == FleetRole::Attached;
+    });
+    const auto index = static_cast<std::size_t>(attached - fleet.vms.begin());
+    fleet.unreachablePeers = { attached->name };
+    for (int step = 0; step < 100; ++step) {
+      fleet.Advance(milliseconds(100));
+      CPPUNIT_ASSERT(fleet.vms[index].proxy->Cluster().IsTrusted(fleet.now));
+    }
+    Section("it is counted again when its messages arrive again", [&] {
+      fleet.unreachablePeers.clear();
+      fleet.Advance(seconds(5));
+      CPPUNIT_ASSERT(fleet.vms[index].proxy->IsReady(fleet.now));
+    });
+  }
+
+  /** Calls that the store refuses have a price as well. */
+  void StoreOutagesCauseNoStampede()
+  {
+    FleetSimulation fleet(200, 123);
+    fleet.Advance(seconds(12));
+    fleet.store.behaviour = [](const std::string&) { return test::StoreBehaviour::Refuse; };
+    const double calls = CallsPerSecond(fleet, seconds(8));
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(calls), calls < 200);
+    fleet.store.behaviour = nullptr;
+    fleet.Advance(seconds(3));
+    CPPUNIT_ASSERT_EQUAL(fleet.vms.size(), CountReady(fleet));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(MembershipHistoryTest);
+
+} // namespace mustardshift::proxy
--- a/scripts/install.sh
+++ b/scripts/install.sh
@@ -6,7 +6,7 @@
   libtbb-dev libwebsocketpp-dev libasio-dev libboost-dev libboost-system-dev prometheus-cpp-dev
   libabsl-dev libeasyloggingpp-dev libexpected-dev libcppunit-dev libyaml-cpp-dev
   nlohmann-json3-dev libgrpc++-dev libprotobuf-dev protobuf-compiler protobuf-compiler-grpc
-  libssl-dev librapidcheck-dev libclang-rt-14-dev
+  libssl-dev libxxhash-dev librapidcheck-dev libclang-rt-14-dev
 )
 missing=()
 for package in "${packages[@]}"; do
