--- a/packages/proxy/SessionProxy.h
+++ b/packages/proxy/SessionProxy.h
@@ -418,6 +418,9 @@
 
   void RunPeriodicChecks(Instant aNow)
   {
+    // First, so that an exception does not end the checks.
+    this->scheduler.Schedule(aNow + kCheckPeriod,
+                             [this](Instant aThen) { this->RunPeriodicChecks(aThen); });
     this->UpdateFleetSize(aNow);
     this->RemoveUnlistedServers(aNow);
     this->cluster.ExpireNotPrimaryMarks(aNow);
@@ -434,8 +437,6 @@
     this->coordinator.SetPromotionPending(aNow, this->driver.NeedsPromotion(aNow));
     this->driver.Step(aNow, this->coordinator.PromotionLeaseEnd());
     this->pool.CloseUnused(aNow, this->settings.idleConnectionTimeout);
-    this->scheduler.Schedule(aNow + kCheckPeriod,
-                             [this](Instant aThen) { this->RunPeriodicChecks(aThen); });
   }
 
   ProxySettings settings;
--- a/packages/proxy/coordination/FleetCoordinator.h
+++ b/packages/proxy/coordination/FleetCoordinator.h
@@ -457,12 +457,12 @@
       if (this->role != FleetRole::Member || aLoop != this->renewalLoop) {
         return;
       }
+      this->RenewPeriodically(aThen, aLoop);
       const auto& lease = this->fleet.PromotionLease();
       const bool isHolder = lease && lease->holder == this->self;
       if (isHolder || aThen - this->renewedAt >= kRenewalPeriod) {
         this->Renew(aThen);
       }
-      this->RenewPeriodically(aThen, aLoop);
     });
   }
 
--- a/packages/proxy/coordination/TableFollower.h
+++ b/packages/proxy/coordination/TableFollower.h
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <exception>
 #include <functional>
 #include <string>
 #include <utility>
@@ -174,20 +175,31 @@
       return;
     }
     this->hasSnapshot = true;
-    // A read of the whole table can return an older version than one seen before. The watch then
-    // delivers the changes since that version.
+    try {
+      this->Apply(aNow, aIsSnapshot, *aRows);
+      if (aRows->version >= this->latestVersion) {
+        this->latestVersion = aRows->version;
+        this->handlers.confirmed(aSentAt);
+      }
+    } catch (const std::exception& error) {
+      // The copy must not stop following the table because of one row.
+      this->log.Write(
+        aNow, "store", "rows-not-applied", { { "table", this->table }, { "why", error.what() } });
+    }
+    this->CallStore(aNow);
+  }
+
+  /** A read of the whole table can return an older version than one seen before. The watch then
+      delivers the changes since that version. */
+  void Apply(Instant aNow, bool aIsSnapshot, const StoredRows& aRows)
+  {
     if (aIsSnapshot) {
-      this->copy.ReplaceRows(*aRows);
-      this->handlers.snapshot(aNow, aRows->rows);
+      this->copy.ReplaceRows(aRows);
+      this->handlers.snapshot(aNow, aRows.rows);
     } else {
-      this->copy.ApplyRowChanges(*aRows);
-      this->handlers.changes(aNow, aRows->rows);
-    }
-    if (aRows->version >= this->latestVersion) {
-      this->latestVersion = aRows->version;
-      this->handlers.confirmed(aSentAt);
+      this->copy.ApplyRowChanges(aRows);
+      this->handlers.changes(aNow, aRows.rows);
     }
-    this->CallStore(aNow);
   }
 
   void OnFailure(Instant aNow, StoreFailure aFailure)
--- a/packages/proxy/tests/TableFollowerTest.cpp
+++ b/packages/proxy/tests/TableFollowerTest.cpp
@@ -6,6 +6,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <map>
 #include <optional>
+#include <stdexcept>
 #include <string>
 
 namespace mustardshift::proxy {
@@ -38,6 +39,9 @@
   void Apply(const std::vector<StoredRow>& aRows)
   {
     for (const StoredRow& row : aRows) {
+      if (this->throwsOnOddRows && row.value == "odd") {
+        throw std::runtime_error("odd row");
+      }
       if (row.isRemoved) {
         this->copy.erase(row.key);
       } else {
@@ -62,6 +66,7 @@
     RowsHandler handler;
   } peers;
   std::optional<Instant> confirmedAsOf;
+  bool throwsOnOddRows = false;
   TableFollower<FakeStore, Peers> follower{
     store,
     peers,
@@ -91,6 +96,7 @@
   CPPUNIT_TEST(StaleReadLosesNoChangeAndConfirmsNothing);
   CPPUNIT_TEST(UnansweredCallsConfirmNothing);
   CPPUNIT_TEST(CopiesOfPeersReplaceOnlyOlderOnes);
+  CPPUNIT_TEST(ExceptionsOfHandlersDoNotEndTheFollowing);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -137,6 +143,21 @@
     });
   }
 
+  /** Guards against one odd row that stops a VM from following the list of servers. */
+  void ExceptionsOfHandlersDoNotEndTheFollowing()
+  {
+    FollowerFixture fixture;
+    fixture.store.Put("servers", "s1", "odd");
+    fixture.throwsOnOddRows = true;
+    fixture.follower.Start(fixture.now);
+    fixture.Advance(milliseconds(50));
+    fixture.store.Put("servers", "s1", "good");
+    fixture.store.Put("servers", "s2", "good");
+    fixture.Advance(milliseconds(50));
+    CPPUNIT_ASSERT_EQUAL(std::string("good"), fixture.copy.at("s1"));
+    CPPUNIT_ASSERT_EQUAL(std::string("good"), fixture.copy.at("s2"));
+  }
+
   void FollowsChanges()
   {
     FollowerFixture fixture;
