Watch the configuration less often where no VM is attached

Cause: with all VMs as members, a watch of the operators' table each 0.8 s is nearly half of the calls to the store. A confirmation is as old as its watch, so 0.8 s served keyed requests for 4.0 s after the store was lost; requests are owed for 3.0 s.

The first watch after a time without calls is answered at once.

--- a/packages/proxy/coordination/TableFollower.h
+++ b/packages/proxy/coordination/TableFollower.h
@@ -81,6 +81,9 @@
     this->skipStore = std::move(aSkipStore);
   }
 
+  /** Changes how long the store may delay its answer to a watch, from the next watch on. */
+  void SetWait(Duration aWait) { this->wait = aWait; }
+
   /** Sets whether other VMs are the usual source of the copy, so that calls to the store are only a
       fallback. */
   void SetStoreIsFallback(bool aIsFallback) { this->isStoreFallback = aIsFallback; }
@@ -104,6 +107,7 @@
   void CallStore(Instant aNow)
   {
     if (this->skipStore && this->skipStore(aNow)) {
+      this->hasSkippedStore = true;
       this->scheduler.Schedule(aNow + kSkipCheckInterval,
                                [this](Instant aThen) { this->CallStore(aThen); });
     } else if (this->hasSnapshot) {
@@ -123,8 +127,10 @@
 
   void Watch(Instant aNow)
   {
-    // After a failure the store should answer at once, because any answer confirms the copy.
-    const Duration longest = this->failures > 0 ? Duration(0) : this->wait;
+    // After a failure, or after a time without calls, the store should answer at once, because any
+    // answer confirms the copy.
+    const bool isUrgent = std::exchange(this->hasSkippedStore, false) || this->failures > 0;
+    const Duration longest = isUrgent ? Duration(0) : this->wait;
     this->store.Watch(this->table,
                       this->copy.Version(),
                       longest,
@@ -241,6 +247,8 @@
   Handlers handlers;
   std::function<bool(Instant)> skipStore;
   bool isStoreFallback = false;
+  /** Whether SetSkipStore()'s predicate has been true since the latest call to the store. */
+  bool hasSkippedStore = false;
   bool isReadingPeer = false;
   /** Number of copies that were received from other VMs. */
   std::uint64_t peerCopies = 0;
