Test that silent servers keep their work, and that restarts bring nothing old back

Two sequences were not played by a test: a primary whose entry lapses while it runs a transaction, and a process that starts and gets its first copies from a member that has lost the store.

RestartedVmsUseNothingOld: 0 statements with the withdrawn key later than 5 s after its withdrawal, the removed server unknown, the other key served.

--- a/packages/proxy/tests/FleetHistoryTest.cpp
+++ b/packages/proxy/tests/FleetHistoryTest.cpp
@@ -1,9 +1,12 @@
+#include "core/configuration/KeyHash.h"
 #include "proxy/tests/FleetSimulation.h"
+#include "proxy/tests/SessionFixture.h"
 #include "support/Section.h"
 
 #include <algorithm>
 #include <chrono>
 #include <cppunit/extensions/HelperMacros.h>
+#include <cstddef>
 #include <deque>
 #include <map>
 #include <optional>
@@ -45,6 +48,7 @@
   CPPUNIT_TEST(ServesSoonAfterStoreRecovers);
   CPPUNIT_TEST(ServesAgainAfterAllProcessesWereKilled);
   CPPUNIT_TEST(OddServerRowsAreNotUsed);
+  CPPUNIT_TEST(TransactionsContinueOnSilentServers);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -636,6 +640,45 @@
     CPPUNIT_ASSERT_MESSAGE(std::to_string(servedCount), servedCount >= 55);
   }
 
+  /** A primary that only fails to report for two seconds keeps the work that it runs: its entry
+      disappears, its connections do not, and it is not replaced. */
+  void TransactionsContinueOnSilentServers()
+  {
+    FleetSimulation fleet(3, 52);
+    auto session = fleet.vms[0].proxy->MakeSession("bookings", KeyHash("key-blue"));
+    CPPUNIT_ASSERT(!session->Open(fleet.now));
+    const auto run = [&](const std::string& aText) {
+      std::optional<ClientReply> reply;
+      session->Execute(fleet.now,
+                       "q" + std::to_string(fleet.network.executedStatements.size()),
+                       test::SessionFixture::Parse(aText),
+                       [&](Instant, const ClientReply& aReply) { reply = aReply; });
+      fleet.Advance(milliseconds(300));
+      CPPUNIT_ASSERT_MESSAGE(aText + ": " + (reply ? reply->message : std::string("no reply")),
+                             reply && !reply->error);
+    };
+    run("BEGIN");
+    run("WRITE slot-1 uwase");
+    fleet.store.Remove("servers", "s1");
+    fleet.Advance(milliseconds(700));
+    run("WRITE slot-2 keza");
+    fleet.Advance(milliseconds(700));
+    run("WRITE slot-3 keza");
+    fleet.WriteServers();
+    fleet.Advance(seconds(1));
+    run("COMMIT");
+    CPPUNIT_ASSERT(fleet.orders.sentOrders.empty());
+    Section("each statement ran once", [&] {
+      std::map<std::string, int> runs;
+      for (const auto& statement : fleet.network.executedStatements) {
+        ++runs[statement.statement];
+      }
+      for (const char* text : { "WRITE slot-1 uwase", "WRITE slot-2 keza", "WRITE slot-3 keza" }) {
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(text, 1, runs[text]);
+      }
+    });
+  }
+
   /** Another writer's row in the list of servers names no server to use, and changes nothing about
       the others. */
   void OddServerRowsAreNotUsed()
--- a/packages/proxy/tests/MembershipHistoryTest.cpp
+++ b/packages/proxy/tests/MembershipHistoryTest.cpp
@@ -71,6 +71,7 @@
   CPPUNIT_TEST(AllVmsShareTheConnections);
   CPPUNIT_TEST(SilentAttachedVmsKeepServing);
   CPPUNIT_TEST(StoreOutagesCauseNoStampede);
+  CPPUNIT_TEST(RestartedVmsUseNothingOld);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -269,6 +270,46 @@
     });
   }
 
+  /** A process that starts may get its first copies from a member that has lost the store. A key
+     that was withdrawn, or a server that has left, must not come back with them. */
+  void RestartedVmsUseNothingOld()
+  {
+    FleetSimulation fleet(60, 125);
+    fleet.Advance(seconds(12));
+    const FailureDomainName domain = fleet.vms[0].domain;
+    std::size_t restarted = 0;
+    for (std::size_t vm = 0; vm < fleet.vms.size(); ++vm) {
+      if (fleet.vms[vm].domain == domain) {
+        const bool isMember = fleet.vms[vm].proxy->Role() == FleetRole::Member;
+        fleet.vms[vm].store->isDisconnected = isMember;
+        restarted = isMember ? restarted : vm;
+      }
+    }
+    fleet.Advance(milliseconds(100));
+    fleet.Configure({ "key-green=green" });
+    fleet.store.Remove("servers", "s3");
+    const Instant changedAt = fleet.now;
+    fleet.Advance(milliseconds(500));
+    fleet.Restart(restarted);
+    std::size_t servedWithOldKey = 0;
+    std::size_t served = 0;
+    while (fleet.now - changedAt < seconds(14)) {
+      fleet.Advance(milliseconds(100));
+      const bool isLate = fleet.now - changedAt > seconds(5);
+      fleet.RunStatement(
+        restarted, "board", "key-blue", "READ slot-1", [&](Instant, const ClientReply& aReply) {
+          servedWithOldKey += isLate && !aReply.error ? 1 : 0;
+        });
+      fleet.RunStatement(
+        restarted, "board", "key-green", "READ slot-1", [&](Instant, const ClientReply& aReply) {
+          served += aReply.error ? 0 : 1;
+        });
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), servedWithOldKey);
+    CPPUNIT_ASSERT(fleet.vms[restarted].proxy->Cluster().Find(ServerId("s3")) == nullptr);
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(served), served > 60);
+  }
+
   /** Calls that the store refuses have a price as well. */
   void StoreOutagesCauseNoStampede()
   {
