--- a/packages/core/mustardshift_core.h
+++ b/packages/core/mustardshift_core.h
@@ -8,6 +8,7 @@
 #include "core/base/BoundedCbor.h"
 #include "core/base/BoundedQueue.h"
 #include "core/base/Instant.h"
+#include "core/base/JsonNumber.h"
 #include "core/base/NameTable.h"
 #include "core/base/Names.h"
 #include "core/base/Outcome.h"
