Let members answer before the first configuration

Cause: a member answered attached VMs only once it had a configuration.

Change: a member answers as soon as it has read the operators' table, empty or not.

--- a/packages/proxy/coordination/AttachmentExchange.h
+++ b/packages/proxy/coordination/AttachmentExchange.h
@@ -258,8 +258,9 @@
 
   void OnRequest(Instant aNow, const AttachmentRequest& aRequest)
   {
-    // A VM that is not a member has nothing to offer, and one without a configuration nothing yet.
-    if (this->isAttached || !this->cluster.HasConfiguration() || !this->fleet.IsLive(this->self)) {
+    // A VM that is not a member has nothing to offer, and one that has not read the tables nothing
+    // yet. An empty table counts: the first configuration can come long after the start.
+    if (this->isAttached || this->operators.Version() == 0 || !this->fleet.IsLive(this->self)) {
       return;
     }
     this->attachedVms[aRequest.sender] = { aRequest.replyAddress, aNow };
--- a/packages/proxy/tests/FleetSimulation.cpp
+++ b/packages/proxy/tests/FleetSimulation.cpp
@@ -157,7 +157,7 @@
   return record;
 }
 
-FleetSimulation::FleetSimulation(std::size_t aVms, unsigned aSeed)
+FleetSimulation::FleetSimulation(std::size_t aVms, unsigned aSeed, bool aHasConfiguration)
   : random(aSeed)
 {
   this->Advance(Duration(0));
@@ -210,7 +210,9 @@
           aHandler(aNow, tl::unexpected(StoreFailure::NoAnswer));
         });
     };
-  this->Configure({ "key-blue=blue", "key-green=green" });
+  if (aHasConfiguration) {
+    this->Configure({ "key-blue=blue", "key-green=green" });
+  }
   this->WriteServers();
   for (std::size_t index = 0; index < aVms; ++index) {
     this->vms.push_back(
--- a/packages/proxy/tests/FleetSimulation.h
+++ b/packages/proxy/tests/FleetSimulation.h
@@ -134,8 +134,10 @@
   /** Number of VMs that have a whole core; further ones have a tenth. */
   static constexpr std::size_t kFastVms = 16;
 
-  /** Starts the VMs and advances the time until they are ready. */
-  FleetSimulation(std::size_t aVms, unsigned aSeed);
+  /** Starts the VMs and advances the time until they are ready.
+      @param aHasConfiguration  whether the operators' table holds a configuration from the start;
+                                without one, no VM gets ready. */
+  FleetSimulation(std::size_t aVms, unsigned aSeed, bool aHasConfiguration = true);
 
   void Advance(Duration aTime);
   /** Stops a VM's process without a shutdown and starts a new one at once. */
--- a/packages/proxy/tests/MembershipHistoryTest.cpp
+++ b/packages/proxy/tests/MembershipHistoryTest.cpp
@@ -72,6 +72,7 @@
   CPPUNIT_TEST(SilentAttachedVmsKeepServing);
   CPPUNIT_TEST(StoreOutagesCauseNoStampede);
   CPPUNIT_TEST(RestartedVmsUseNothingOld);
+  CPPUNIT_TEST(LateFirstConfigurationCausesNoCalls);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -311,6 +312,23 @@
     CPPUNIT_ASSERT_MESSAGE(std::to_string(served), served > 60);
   }
 
+  /** The pattern of a fleet that starts 10 s before its operators write the first configuration:
+     VMs that look for another member again and again call the store each time. */
+  void LateFirstConfigurationCausesNoCalls()
+  {
+    FleetSimulation fleet(60, 126, false);
+    fleet.Advance(seconds(4));
+    // The members make up to 3 calls a second; each VM reads the table once or twice.
+    const std::size_t members = CountRole(fleet, FleetRole::Member);
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(fleet.store.callCount),
+                           fleet.store.callCount <= members * 3 * 10 + 3 * fleet.vms.size());
+    Section("all VMs are ready soon after it", [&] {
+      fleet.Configure({ "key-green=green" });
+      fleet.Advance(seconds(3));
+      CPPUNIT_ASSERT_EQUAL(fleet.vms.size(), CountReady(fleet));
+    });
+  }
+
   /** Calls that the store refuses have a price as well. */
   void StoreOutagesCauseNoStampede()
   {
