--- a/review/standin/Deployment.cpp
+++ b/review/standin/Deployment.cpp
@@ -86,8 +86,9 @@
     this->record.Write("the processes were not started");
     return false;
   }
-  for (Vm& vm : this->vms) {
-    std::ifstream(this->folder + "/" + vm.name + ".pid") >> vm.process;
+  for (std::size_t index = 0; index < this->vms.size(); ++index) {
+    Vm& vm = this->vms[index];
+    vm.process = this->ProcessOf(index);
     if (!WaitUntil([&] { return AskReadiness(vm.readiness) == 200; })) {
       this->record.Write(vm.name + " is not ready in time");
       return false;
@@ -106,6 +107,13 @@
   ::_exit(aRun(*arguments, *new Deployment(*arguments)));
 }
 
+pid_t Deployment::ProcessOf(std::size_t aVm) const
+{
+  pid_t process = 0;
+  std::ifstream(this->folder + "/" + this->vms[aVm].name + ".pid") >> process;
+  return process;
+}
+
 std::string Describe(const Reply& aReply)
 {
   std::string text;
--- a/review/standin/Deployment.h
+++ b/review/standin/Deployment.h
@@ -57,6 +57,9 @@
       is ready. Returns false if that takes too long. */
   bool StartVms();
 
+  /** The process that now runs for a VM; another one after each restart. */
+  pid_t ProcessOf(std::size_t aVm) const;
+
   Record record;
   Platform platform;
   std::vector<Vm> vms;
