--- a/review/cases/PromotedServerCase.cpp
+++ b/review/1/PromotedServerCase.cpp
@@ -1,6 +1,6 @@
 // Promotes a replica while the other replica lags behind in applying what it has received.
 
-#include "../standin/Deployment.h"
+#include "../Deployment.h"
 
 #include <atomic>
 #include <mutex>
--- a/review/cases/ShutdownCase.cpp
+++ b/review/2/ShutdownCase.cpp
@@ -1,6 +1,6 @@
 // Stops VMs with SIGTERM, one after the other, while clients are inside transactions.
 
-#include "../standin/Deployment.h"
+#include "../Deployment.h"
 
 #include <array>
 #include <atomic>
--- a/review/build.sh
+++ b/review/build.sh
@@ -1,17 +1,15 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of the cases into review/bin.
+# Builds the stand-ins of the cases: one program for each, review/N/case.
 set -euo pipefail
 cd "$(dirname "$0")"
-mkdir -p bin
-objects=()
+objects=$(mktemp -d)
+trap 'rm -rf "$objects"' EXIT
 pids=()
-for source in standin/*.cpp; do
-  object=bin/$(basename "$source" .cpp).o
-  clang++ -std=c++20 -O1 -pthread -c "$source" -o "$object" &
+for source in *.cpp; do
+  clang++ -std=c++20 -O1 -pthread -c "$source" -o "$objects/${source%.cpp}.o" &
   pids+=("$!")
-  objects+=("$object")
 done
 for pid in "${pids[@]}"; do wait "$pid"; done
-for source in cases/*.cpp; do
-  clang++ -std=c++20 -O1 -pthread "$source" "${objects[@]}" -o "bin/$(basename "$source" .cpp)"
+for case in [1-5]; do
+  clang++ -std=c++20 -O1 -pthread "$case"/*.cpp "$objects"/*.o -o "$case/case"
 done
--- a/review/run_case.sh
+++ b/review/run_case.sh
@@ -1,12 +1,11 @@
 #!/usr/bin/env bash
-# Runs one case: run_case.sh PROGRAM FOLDER. Starts the stand-ins, then one process for each VM with
+# Runs the case of a folder: run_case.sh FOLDER. Starts the stand-ins, then one process for each VM with
 # the command of the deploy file and settings made from its template, and ends them all.
 # Exit code: 1 the rule was broken, 0 it held, 2 the case could not run.
 set -uo pipefail
-program=$1
-folder=$(cd "$2" && pwd)
+folder=$(cd "$1" && pwd)
 cd "$(dirname "$0")/.."
-standin=review/bin/$program
+standin=$folder/case
 command=$(sed -n 's/^run = "\(.*\)"$/\1/p' deploy/system.toml)
 template=$(sed -n 's/^template = "\(.*\)"$/\1/p' deploy/system.toml)
 daemon=${command%% *}
