Answer every accepted statement before a planned exit

Callers saw: 5.3 s after the SIGTERM of a VM, clients inside transactions lost their connection while a statement ran at a server, COMMITs among them. Cause: statements of open transactions were accepted until the exit, and the exit did not look whether one was running. Nothing ended open transactions.

--- a/packages/proxy/SessionProxy.h
+++ b/packages/proxy/SessionProxy.h
@@ -201,6 +201,9 @@
       this->context, std::move(aDatabase), std::move(aKeyHash));
   }
 
+  /** Refuses new sessions and statements from now on, because the process exits soon. */
+  void RefuseStatements() { this->context.isStopping = true; }
+
   /** Handles a datagram that another VM sent. */
   void OnDatagram(Instant aNow, std::string_view aBytes)
   {
--- a/packages/proxy/session/ClientSession.h
+++ b/packages/proxy/session/ClientSession.h
@@ -57,7 +57,8 @@
       nothing. */
   std::optional<ErrorCode> Open(Instant aNow)
   {
-    const std::optional<ErrorCode> refusal = this->CheckAccess(aNow);
+    const std::optional<ErrorCode> refusal =
+      this->context.isStopping ? ErrorCode::Busy : this->CheckAccess(aNow);
     this->context.log.Write(aNow,
                             "session",
                             refusal ? "refused" : "opened",
@@ -79,6 +80,9 @@
     this->activeStatement->statement = std::move(aStatement);
     this->activeStatement->reply = std::move(aReply);
     this->activeStatement->startedAt = aNow;
+    if (this->context.isStopping && this->RefuseBeforeExit(aNow)) {
+      return;
+    }
     switch (this->activeStatement->statement.kind) {
       case StatementKind::SetVariable:
       case StatementKind::Prepare:
@@ -126,6 +130,15 @@
     this->RollBackAtServer(aNow);
   }
 
+  /** Ends the running statement, if there is one, with the answer that it would get at its time
+      limit. */
+  void AnswerRunningStatement(Instant aNow)
+  {
+    if (this->activeStatement && !this->hasEnded) {
+      this->AbandonStatement(aNow, kStopping, kStopping);
+    }
+  }
+
   bool IsRunning() const { return this->activeStatement.has_value(); }
   bool IsInTransaction() const { return this->transaction != Transaction::None; }
   TransactionState State() const
@@ -153,6 +166,8 @@
     Failed,
   };
 
+  static constexpr const char* kStopping = "this VM is stopping";
+
   static std::string NameText(ErrorCode aCode)
   {
     return std::string(NameOf(kErrorCodeNames, aCode));
@@ -177,6 +192,28 @@
     return std::nullopt;
   }
 
+  /** Refuses the statement because the process exits soon. An open transaction is rolled back, so
+      that the client can repeat it at another VM. Returns false, and does nothing, if the statement
+      needs no server because the transaction is over. */
+  bool RefuseBeforeExit(Instant aNow)
+  {
+    switch (this->transaction) {
+      case Transaction::None:
+        this->ReplyError(aNow, ErrorCode::Busy, kStopping);
+        return true;
+      case Transaction::Failed:
+        return false;
+      case Transaction::Pending:
+      case Transaction::Open:
+        break;
+    }
+    if (this->activeStatement->statement.kind == StatementKind::Rollback) {
+      return false;
+    }
+    this->FailTransaction(aNow, ErrorCode::Aborted, kStopping);
+    return true;
+  }
+
   void BeginTransaction(Instant aNow)
   {
     if (this->transaction != Transaction::None) {
@@ -713,18 +750,29 @@
       return;
     }
     this->activeStatement->deadlineTimer.reset();
+    if (this->activeStatement->isRunning) {
+      this->context.health.RecordAttemptFailure(this->connection->server,
+                                                aNow - this->access.route.statementTimeout);
+    }
+    this->AbandonStatement(aNow,
+                           "the time limit passed before a server ran the statement",
+                           "the server gave no answer in time");
+  }
+
+  /** Ends the statement without waiting any longer for a server.
+      @param aWhyNotRun  message if no server was asked to run the statement.
+      @param aWhyNoAnswer  message if a server may have run it, but nothing is kept. */
+  void AbandonStatement(Instant aNow, const char* aWhyNotRun, const char* aWhyNoAnswer)
+  {
     if (!this->activeStatement->isRunning) {
       this->context.pool.Cancel(this->activeStatement->connectionTicket);
       this->context.throttler.Cancel(this->activeStatement->tokenTicket);
-      if (this->hasEnded) {
-        return;
+      if (!this->hasEnded) {
+        this->Fail(aNow, ErrorCode::Busy, aWhyNotRun);
       }
-      this->Fail(aNow, ErrorCode::Busy, "the time limit passed before a server ran the statement");
       return;
     }
     const bool mayHaveCommitted = this->MayCommit();
-    this->context.health.RecordAttemptFailure(this->connection->server,
-                                              aNow - this->access.route.statementTimeout);
     this->CloseStatementConnection(aNow);
     if (this->hasEnded) {
       this->CancelTimers();
@@ -735,7 +783,7 @@
       this->FailInDoubt(aNow);
       return;
     }
-    this->Fail(aNow, ErrorCode::Aborted, "the server gave no answer in time");
+    this->Fail(aNow, ErrorCode::Aborted, aWhyNoAnswer);
   }
 
   /** Ends a commit or a write whose outcome is unknown. */
--- a/packages/proxy/session/SessionContext.h
+++ b/packages/proxy/session/SessionContext.h
@@ -36,6 +36,8 @@
   SessionLimits sessionLimits;
   /** Called once for each statement that has ended, to record it in the metrics. */
   std::function<void(const StatementOutcome&)> onStatementEnd;
+  /** The process exits soon: new sessions and statements are refused. */
+  bool isStopping = false;
 };
 
 } // namespace mustardshift::proxy
