Promote the replica that has received most, and ask all that may hold commits

Cause: replicas were compared by the position on the READY line, which is what they have applied. The position received, which a promoted server keeps, stands in the row of the same answer and was not read. sync_replicas was not read either: whoever had answered within 400 ms decided, and replicas that are leaving were not asked although they confirm commits. Change: the status row is decoded into ServerReply::receivedPosition, and ChooseCandidate goes by it. With sync_replicas, all replicas but sync_replicas - 1 have to answer, leaving ones included; a busy one is asked again within the attempt. The log gives the positions of each decision. Why it works: a commit is acknowledged once sync_replicas replicas have it, so one of those that answer has it, and the one that has received most has all.

--- a/packages/proxy/cluster/ClusterState.cpp
+++ b/packages/proxy/cluster/ClusterState.cpp
@@ -115,14 +115,22 @@
   return drainingStart;
 }
 
-std::vector<ServerId> ClusterState::ReadyServers(const DatabaseName& aGroup) const
+std::vector<ServerId> ClusterState::ServersOf(const DatabaseName& aGroup) const
 {
-  std::vector<ServerId> readyServers;
+  std::vector<ServerId> groupServers;
   for (const auto& [id, server] : this->servers) {
-    if (server.group == aGroup && !this->DrainingSince(id)) {
-      readyServers.push_back(id);
+    if (server.group == aGroup) {
+      groupServers.push_back(id);
     }
   }
+  return groupServers;
+}
+
+std::vector<ServerId> ClusterState::ReadyServers(const DatabaseName& aGroup) const
+{
+  std::vector<ServerId> readyServers = this->ServersOf(aGroup);
+  std::erase_if(readyServers,
+                [this](const ServerId& aId) { return this->DrainingSince(aId).has_value(); });
   return readyServers;
 }
 
--- a/packages/proxy/cluster/ClusterState.h
+++ b/packages/proxy/cluster/ClusterState.h
@@ -55,6 +55,9 @@
   const std::map<ServerId, ServerRecord>& Servers() const { return this->servers; }
   const ServerRecord* Find(const ServerId& aId) const;
 
+  /** All listed servers of a group. */
+  std::vector<ServerId> ServersOf(const DatabaseName& aGroup) const;
+
   /** Servers of a group that may be given new work: not draining, and in a failure domain that is
       in service. */
   std::vector<ServerId> ReadyServers(const DatabaseName& aGroup) const;
--- a/packages/proxy/cluster/SessionConfiguration.h
+++ b/packages/proxy/cluster/SessionConfiguration.h
@@ -33,6 +33,9 @@
   std::map<OrganisationName, OrganisationLimit> limits;
   /** Number of connections that each server of a group accepts from all VMs together. */
   std::map<DatabaseName, unsigned> connectionLimits;
+  /** Number of replicas that have received a commit before the primary acknowledges it, by group.
+      Groups that are missing acknowledge commits which only the primary has. */
+  std::map<DatabaseName, unsigned> syncReplicas;
   /** A transaction that is idle for longer than this is rolled back. */
   Duration transactionIdleTimeout{ std::chrono::seconds(3) };
 };
--- a/packages/proxy/promotion/ChooseCandidate.cpp
+++ b/packages/proxy/promotion/ChooseCandidate.cpp
@@ -1,19 +1,47 @@
 #include "proxy/promotion/ChooseCandidate.h"
 
 #include <algorithm>
+#include <optional>
 
 namespace mustardshift::proxy {
 
-std::optional<ServerId> ChooseCandidate(const std::map<ServerId, LogPosition>& aPositions)
+namespace {
+
+/** Returns the replica that has received most, among all or among the ready ones only. */
+std::optional<ServerId> MostAdvanced(const PromotionCandidates& aCandidates, bool aOnlyReady)
 {
-  const auto best = std::max_element(
-    aPositions.begin(), aPositions.end(), [](const auto& aLeft, const auto& aRight) {
-      return aLeft.second < aRight.second;
-    });
-  if (best == aPositions.end()) {
-    return std::nullopt;
+  std::optional<ServerId> best;
+  std::pair<LogPosition, bool> bestRank;
+  for (const auto& [id, position] : aCandidates.receivedPositions) {
+    const bool isReady = aCandidates.readyReplicas.contains(id);
+    const std::pair<LogPosition, bool> rank(position, isReady);
+    if ((isReady || !aOnlyReady) && (!best || rank > bestRank)) {
+      best = id;
+      bestRank = rank;
+    }
+  }
+  return best;
+}
+
+} // namespace
+
+tl::expected<ServerId, NoCandidateReason> ChooseCandidate(const PromotionCandidates& aCandidates)
+{
+  const bool isSynchronous = aCandidates.syncReplicas > 0;
+  const std::optional<ServerId> best = MostAdvanced(aCandidates, !isSynchronous);
+  if (!best) {
+    return tl::unexpected(NoCandidateReason::NoAnswer);
+  }
+  if (!isSynchronous) {
+    return *best;
+  }
+  if (aCandidates.receivedPositions.size() + aCandidates.syncReplicas <= aCandidates.replicaCount) {
+    return tl::unexpected(NoCandidateReason::TooFewAnswers);
+  }
+  if (aCandidates.isPrimaryServing && !aCandidates.readyReplicas.contains(*best)) {
+    return tl::unexpected(NoCandidateReason::ReadyReplicasBehind);
   }
-  return best->first;
+  return *best;
 }
 
 } // namespace mustardshift::proxy
--- a/packages/proxy/promotion/PromotionDriver.h
+++ b/packages/proxy/promotion/PromotionDriver.h
@@ -25,8 +25,8 @@
 
 namespace mustardshift::proxy {
 
-/** Replaces primaries: claims the promotion lease, finds the replica with the most complete log,
-    and orders the platform to promote it.
+/** Replaces primaries: claims the promotion lease, finds the replica that has received most of the
+    log, and orders the platform to promote it.
 
     The lease row names one holder and a fencing token. Before each order the token is increased by
     a write that is conditional on the row's version, so that an order whose answer was lost can't
@@ -40,6 +40,8 @@
 public:
   /** Time that replicas have to report their log positions. */
   static constexpr Duration kPositionTimeout = std::chrono::milliseconds(400);
+  /** Delay before a replica that was too busy to report its position is asked again. */
+  static constexpr Duration kBusyRetryDelay = std::chrono::milliseconds(20);
   /** Pause after an accepted order. The new primary appears in the list of servers within this
       time. */
   static constexpr Duration kAcceptedPause = std::chrono::seconds(3);
@@ -119,7 +121,7 @@
     Instant nextAttemptAt{};
     /** Number of the current round of position requests; answers of earlier rounds are ignored. */
     std::uint64_t round = 0;
-    std::map<ServerId, LogPosition> positions;
+    PromotionCandidates candidates;
     std::size_t pendingAnswers = 0;
     /** Servers whose promotion the platform has rejected since the group began to need a new
         primary. */
@@ -202,47 +204,88 @@
   {
     GroupState& state = this->groupStates[aGroup];
     const std::optional<ServerId> primary = this->cluster.PrimaryOf(aGroup);
-    std::vector<ServerId> replicas;
-    for (const ServerId& id : this->cluster.ReadyServers(aGroup)) {
-      if (id != primary && !state.rejectedCandidates.contains(id)) {
-        replicas.push_back(id);
-      }
-    }
+    state.candidates = this->FindReplicas(aGroup, aReason);
+    const std::set<ServerId> replicas = this->ReplicasToAsk(aGroup, state);
     this->log.WriteAlways(aNow,
                           "promotion",
                           "needed",
                           { { "group", aGroup.Text() },
                             { "why", std::string(NameOf(kPromotionReasonNames, aReason)) },
                             { "primary", primary ? primary->Text() : "none" },
-                            { "replicas", std::to_string(replicas.size()) } });
+                            { "replicas", std::to_string(replicas.size()) },
+                            { "sync", std::to_string(state.candidates.syncReplicas) } });
     if (replicas.empty()) {
       state.rejectedCandidates.clear();
       state.nextAttemptAt = aNow + kFailedPause;
       return;
     }
     state.isRunning = true;
-    state.positions.clear();
     state.pendingAnswers = replicas.size();
     const std::uint64_t round = ++state.round;
     for (const ServerId& replica : replicas) {
-      this->RequestPosition(aNow, aGroup, replica, round);
+      this->RequestPosition(aNow, { aGroup, replica, round, aNow + kPositionTimeout });
     }
     this->scheduler.Schedule(aNow + kPositionTimeout, [this, aGroup, round](Instant aThen) {
       this->OnPositionsCollected(aThen, aGroup, round);
     });
   }
 
-  void RequestPosition(Instant aNow,
-                       const DatabaseName& aGroup,
-                       const ServerId& aReplica,
-                       std::uint64_t aRound)
+  PromotionCandidates FindReplicas(const DatabaseName& aGroup, PromotionReason aReason) const
+  {
+    const std::optional<ServerId> primary = this->cluster.PrimaryOf(aGroup);
+    const std::vector<ServerId> servers = this->cluster.ServersOf(aGroup);
+    const std::vector<ServerId> readyServers = this->cluster.ReadyServers(aGroup);
+    const auto& syncReplicas = this->cluster.Configuration().syncReplicas;
+    const auto syncReplicasOfGroup = syncReplicas.find(aGroup);
+    PromotionCandidates candidates;
+    candidates.readyReplicas.insert(readyServers.begin(), readyServers.end());
+    candidates.replicaCount = servers.size();
+    if (primary) {
+      candidates.readyReplicas.erase(*primary);
+      --candidates.replicaCount;
+    }
+    candidates.syncReplicas =
+      syncReplicasOfGroup == syncReplicas.end() ? 0 : syncReplicasOfGroup->second;
+    candidates.isPrimaryServing = aReason == PromotionReason::Leaving;
+    return candidates;
+  }
+
+  /** Returns the replicas whose positions are needed. A replica that is leaving can hold
+     acknowledged commits that the others lack. One that the platform refused to promote may have
+     come back. */
+  std::set<ServerId> ReplicasToAsk(const DatabaseName& aGroup, const GroupState& aState) const
+  {
+    if (aState.candidates.syncReplicas == 0) {
+      std::set<ServerId> replicas = aState.candidates.readyReplicas;
+      for (const ServerId& rejected : aState.rejectedCandidates) {
+        replicas.erase(rejected);
+      }
+      return replicas;
+    }
+    const std::vector<ServerId> servers = this->cluster.ServersOf(aGroup);
+    std::set<ServerId> replicas(servers.begin(), servers.end());
+    if (const auto primary = this->cluster.PrimaryOf(aGroup)) {
+      replicas.erase(*primary);
+    }
+    return replicas;
+  }
+
+  /** A request for the position of one replica. */
+  struct PositionRequest
+  {
+    DatabaseName group;
+    ServerId replica;
+    std::uint64_t round = 0;
+    Instant deadline{};
+  };
+
+  void RequestPosition(Instant aNow, const PositionRequest& aRequest)
   {
     ConnectionRequest<Network> request;
-    request.organisation = this->OrganisationFor(aReplica);
-    request.candidates = { { aReplica, 0 } };
-    request.deadline = aNow + kPositionTimeout;
-    request.handler = [this, aGroup, aReplica, aRound](Instant aThen,
-                                                       PooledConnection<Network>* aConnection) {
+    request.organisation = this->OrganisationFor(aRequest.replica);
+    request.candidates = { { aRequest.replica, 0 } };
+    request.deadline = aRequest.deadline;
+    request.handler = [this, aRequest](Instant aThen, PooledConnection<Network>* aConnection) {
       if (aConnection == nullptr) {
         return;
       }
@@ -257,14 +300,13 @@
         *aConnection,
         this->health,
         { std::move(status) },
-        [this, aGroup, aReplica, aRound, aConnection, timer](Instant aLater,
-                                                             const CommandSequenceResult& aResult) {
+        [this, aRequest, aConnection, timer](Instant aLater, const CommandSequenceResult& aResult) {
           this->scheduler.Cancel(timer);
           if (aResult.reply.status == ReplyStatus::Lost) {
             this->pool.Discard(aLater, aConnection);
           } else {
             this->pool.Release(aLater, aConnection);
-            this->OnPosition(aLater, aGroup, aReplica, aRound, aResult.reply.position);
+            this->OnStatus(aLater, aRequest, aResult.reply);
           }
         });
     };
@@ -283,19 +325,41 @@
     return limits.empty() ? OrganisationName() : limits.begin()->first;
   }
 
-  void OnPosition(Instant aNow,
-                  const DatabaseName& aGroup,
-                  const ServerId& aReplica,
-                  std::uint64_t aRound,
-                  const std::optional<LogPosition>& aPosition)
+  void OnStatus(Instant aNow, const PositionRequest& aRequest, const ServerReply& aReply)
   {
-    GroupState& state = this->groupStates[aGroup];
-    if (state.round != aRound || !aPosition) {
+    GroupState& state = this->groupStates[aRequest.group];
+    if (state.round != aRequest.round) {
       return;
     }
-    state.positions[aReplica] = *aPosition;
-    if (--state.pendingAnswers == 0) {
-      this->OnPositionsCollected(aNow, aGroup, aRound);
+    std::optional<LogPosition> position = aReply.receivedPosition;
+    if (!position && state.candidates.syncReplicas == 0) {
+      // What the replica has applied is a lower bound. It decides at once, since commits of this
+      // group are acknowledged without the replicas anyway.
+      position = aReply.position;
+    }
+    if (position) {
+      state.candidates.receivedPositions[aRequest.replica] = *position;
+      if (--state.pendingAnswers == 0) {
+        this->OnPositionsCollected(aNow, aRequest.group, aRequest.round);
+      }
+      return;
+    }
+    this->log.Write(
+      aNow,
+      "promotion",
+      "position-unknown",
+      { { "group", aRequest.group.Text() },
+        { "replica", aRequest.replica.Text() },
+        { "error",
+          aReply.status == ReplyStatus::Refused ? std::string(NameOf(kErrorCodeNames, aReply.error))
+                                                : std::string("unreadable") } });
+    if (aReply.status == ReplyStatus::Refused && aReply.error == ErrorCode::Busy &&
+        aNow + kBusyRetryDelay < aRequest.deadline) {
+      this->scheduler.Schedule(aNow + kBusyRetryDelay, [this, aRequest](Instant aThen) {
+        if (this->groupStates[aRequest.group].round == aRequest.round) {
+          this->RequestPosition(aThen, aRequest);
+        }
+      });
     }
   }
 
@@ -306,7 +370,7 @@
       return;
     }
     ++state.round;
-    const std::optional<ServerId> candidate = ChooseCandidate(state.positions);
+    const auto candidate = ChooseCandidate(state.candidates);
     const auto reason = FindPromotionReason(aNow, aGroup, this->cluster, this->fleet);
     if (!candidate || !reason || !this->IsHolder(aNow)) {
       this->log.WriteAlways(
@@ -315,8 +379,9 @@
         "given-up",
         { { "group", aGroup.Text() },
           { "why",
-            !candidate ? "no replica answered"
-                       : (!reason ? "no longer needed" : "promotion lease lost") } });
+            !candidate ? std::string(NameOf(kNoCandidateReasonNames, candidate.error()))
+                       : (!reason ? "no longer needed" : "promotion lease lost") },
+          { "positions", PositionsText(state.candidates) } });
       this->EndAttempt(aNow, aGroup, kFailedPause);
       return;
     }
@@ -330,6 +395,17 @@
       });
   }
 
+  /** Positions that replicas have reported, for the log. */
+  static std::string PositionsText(const PromotionCandidates& aCandidates)
+  {
+    std::string text;
+    for (const auto& [id, position] : aCandidates.receivedPositions) {
+      text += (text.empty() ? "" : " ") + id.Text() + ":" + std::to_string(position.term) + "." +
+              std::to_string(position.offset);
+    }
+    return text;
+  }
+
   void SendOrder(Instant aNow,
                  const DatabaseName& aGroup,
                  const ServerId& aCandidate,
@@ -341,7 +417,8 @@
                           "ordered",
                           { { "group", aGroup.Text() },
                             { "candidate", aCandidate.Text() },
-                            { "fence", std::to_string(order.fencingToken) } });
+                            { "fence", std::to_string(order.fencingToken) },
+                            { "positions", PositionsText(this->groupStates[aGroup].candidates) } });
     this->orders.Send(order, [this, order](Instant aThen, PromotionOrderResult aResult) {
       this->log.WriteAlways(
         aThen,
--- a/packages/proxy/statement/ServerCommand.h
+++ b/packages/proxy/statement/ServerCommand.h
@@ -22,7 +22,7 @@
   Rollback,
   /** Removes the session variables and the prepared statements of the connection. */
   Reset,
-  /** Requests the server's role and log position. */
+  /** Requests ServerReply::receivedPosition. */
   Status,
 };
 
--- a/packages/proxy/statement/ServerReply.h
+++ b/packages/proxy/statement/ServerReply.h
@@ -30,8 +30,11 @@
   ErrorCode error = ErrorCode::Failed;
   std::string message;
   TransactionState state = TransactionState::Idle;
-  /** Log position at the end of the server's log when the server answered. */
+  /** Position up to which the server had applied its log when it answered. */
   std::optional<LogPosition> position;
+  /** End of what the server has received, in replies to ServerCommandKind::Status. The server may
+      not have applied all of it yet; a server that is promoted keeps all of it. */
+  std::optional<LogPosition> receivedPosition;
 };
 
 } // namespace mustardshift::proxy
--- a/packages/proxy/tests/FakeContractTest.cpp
+++ b/packages/proxy/tests/FakeContractTest.cpp
@@ -82,6 +82,12 @@
     };
   }
 
+  void HoldBackOneCommit(const std::string& aServer)
+  {
+    test::FakeServer& server = this->network.Server(aServer);
+    server.receivedPosition = LogPosition{ server.position.term, server.position.offset + 1 };
+  }
+
   test::FakeNetwork network{ this->scheduler };
 };
 
--- a/packages/proxy/tests/FakeNetwork.cpp
+++ b/packages/proxy/tests/FakeNetwork.cpp
@@ -161,6 +161,7 @@
       this->isInTransaction = false;
       break;
     case ServerCommandKind::Status:
+      reply.receivedPosition = this->server.receivedPosition.value_or(this->server.position);
       break;
     case ServerCommandKind::Forward:
     case ServerCommandKind::Execute:
--- a/packages/proxy/tests/FakeNetwork.h
+++ b/packages/proxy/tests/FakeNetwork.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -46,7 +47,10 @@
   /** Servers of one group replicate the log of the group's primary. */
   std::string group;
   bool isPrimary = false;
+  /** End of what the server has applied. */
   LogPosition position{ 1, 0 };
+  /** End of what the server has received, if it has not applied all of it. */
+  std::optional<LogPosition> receivedPosition;
   /** Offset at which the term of `position` began. */
   std::uint64_t termStartOffset = 0;
   /** The server does not reply on any connection. */
--- a/packages/proxy/tests/FleetSimulation.cpp
+++ b/packages/proxy/tests/FleetSimulation.cpp
@@ -116,7 +116,11 @@
   }
   std::istringstream words(aRow.value);
   SessionConfiguration configuration;
-  words >> configuration.version;
+  unsigned syncReplicas = 0;
+  words >> configuration.version >> syncReplicas;
+  if (syncReplicas > 0) {
+    configuration.syncReplicas[kGroup] = syncReplicas;
+  }
   configuration.connectionLimits[kGroup] = 30;
   configuration.connectionLimits[kOtherGroup] = 30;
   SessionRoute route;
@@ -270,7 +274,7 @@
 
 void FleetSimulation::Configure(const std::vector<std::string>& aKeys)
 {
-  std::string text = std::to_string(++this->version);
+  std::string text = std::to_string(++this->version) + " " + std::to_string(this->syncReplicas);
   for (const std::string& key : aKeys) {
     text += " " + key;
   }
--- a/packages/proxy/tests/FleetSimulation.h
+++ b/packages/proxy/tests/FleetSimulation.h
@@ -144,7 +144,8 @@
   void Restart(std::size_t aIndex);
   /** Stops a VM without a shutdown and removes it for good. */
   void Kill(std::size_t aIndex);
-  /** Writes a new configuration with these keys, each in the format "KEY=ORGANISATION". */
+  /** Writes a new configuration with these keys, each in the format "KEY=ORGANISATION", and with
+      syncReplicas. */
   void Configure(const std::vector<std::string>& aKeys);
   /** Writes the current role of each server that has not crashed to the table of servers. */
   void WriteServers();
@@ -176,6 +177,9 @@
       datagrams take 1 ms. */
   unsigned maxReportDelayMs = 1;
   bool dropsReports = false;
+  /** Replicas that receive a commit of the group "fittings" before it is acknowledged, from the
+     next Configure() on. */
+  unsigned syncReplicas = 0;
 
 private:
   void Start(Vm& aVm);
--- /dev/null
+++ b/packages/proxy/tests/SyncReplicaPromotionTest.cpp
@@ -0,0 +1,191 @@
+#include "proxy/promotion/ChooseCandidate.h"
+#include "proxy/tests/FleetSimulation.h"
+#include "support/Section.h"
+
+#include <chrono>
+#include <cppunit/extensions/HelperMacros.h>
+#include <string>
+
+namespace mustardshift::proxy {
+
+using mustardshift::test::Section;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using test::FleetSimulation;
+
+namespace {
+
+/** A fleet whose group "fittings" (primary s1, replicas s2 and s3) acknowledges a commit once one
+    replica has received it. */
+struct SyncFleet : FleetSimulation
+{
+  explicit SyncFleet(unsigned aSeed)
+    : FleetSimulation(4, aSeed)
+  {
+    this->syncReplicas = 1;
+    this->Configure({ "key-blue=blue" });
+    this->Advance(seconds(1));
+  }
+
+  std::string Promoted() const
+  {
+    return this->orders.acceptedOrders.empty()
+             ? std::string("none")
+             : this->orders.acceptedOrders.back().candidate.Text();
+  }
+};
+
+bool IsStatus(const ServerCommand& aCommand)
+{
+  return aCommand.kind == ServerCommandKind::Status;
+}
+
+} // namespace
+
+/** Guards against a promotion that loses acknowledged commits, because the promoted replica has not
+    received what another one has. */
+class SyncReplicaPromotionTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(SyncReplicaPromotionTest);
+  CPPUNIT_TEST(TheReplicaThatHasReceivedMostIsPromoted);
+  CPPUNIT_TEST(NoReplicaIsPromotedWhileAnotherMayHoldMore);
+  CPPUNIT_TEST(LeavingReplicasCountToo);
+  CPPUNIT_TEST(BusyReplicasAreAskedAgain);
+  CPPUNIT_TEST(CandidatesAreChosenByWhatIsKnown);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  /** Guards against going by what a replica has applied: a slow one can have received more. */
+  void TheReplicaThatHasReceivedMostIsPromoted()
+  {
+    for (const unsigned syncReplicas : { 1U, 0U }) {
+      SyncFleet fleet(1);
+      fleet.syncReplicas = syncReplicas;
+      fleet.Configure({ "key-blue=blue" });
+      fleet.network.Server("s2").position = { 1, 6 };
+      fleet.network.Server("s3").position = { 1, 5 };
+      fleet.network.Server("s3").receivedPosition = { 1, 9 };
+      fleet.CrashServer("s1");
+      fleet.Advance(seconds(5));
+      CPPUNIT_ASSERT_EQUAL(std::string("s3"), fleet.Promoted());
+    }
+  }
+
+  void NoReplicaIsPromotedWhileAnotherMayHoldMore()
+  {
+    Section("a replica that answers late decides", [&] {
+      SyncFleet fleet(2);
+      fleet.network.Server("s3").receivedPosition = { 1, 9 };
+      fleet.network.Server("s3").isUnresponsive = true;
+      fleet.CrashServer("s1");
+      fleet.Advance(seconds(5));
+      CPPUNIT_ASSERT_EQUAL(std::string("none"), fleet.Promoted());
+      fleet.network.Server("s3").isUnresponsive = false;
+      fleet.Advance(seconds(3));
+      CPPUNIT_ASSERT_EQUAL(std::string("s3"), fleet.Promoted());
+    });
+    Section("one whose entry is gone no longer counts", [&] {
+      SyncFleet fleet(3);
+      fleet.CrashServer("s3");
+      fleet.CrashServer("s1");
+      fleet.Advance(seconds(5));
+      CPPUNIT_ASSERT_EQUAL(std::string("none"), fleet.Promoted());
+      fleet.store.Remove("servers", "s3");
+      fleet.Advance(seconds(5));
+      CPPUNIT_ASSERT_EQUAL(std::string("s2"), fleet.Promoted());
+    });
+    Section("without replicas that confirm commits, the ones that answer decide", [&] {
+      SyncFleet fleet(4);
+      fleet.syncReplicas = 0;
+      fleet.Configure({ "key-blue=blue" });
+      fleet.CrashServer("s3");
+      fleet.CrashServer("s1");
+      fleet.Advance(seconds(5));
+      CPPUNIT_ASSERT_EQUAL(std::string("s2"), fleet.Promoted());
+    });
+  }
+
+  /** Guards against passing over a server that is leaving: until it ends, it receives commits and
+      confirms them. */
+  void LeavingReplicasCountToo()
+  {
+    Section("one that alone has everything is promoted when the primary is gone", [&] {
+      SyncFleet fleet(5);
+      fleet.network.Server("s2").receivedPosition = { 1, 9 };
+      fleet.store.Put("operators", "evacuate-domain-s2", "{}");
+      fleet.Advance(milliseconds(500));
+      fleet.CrashServer("s1");
+      fleet.Advance(milliseconds(2500));
+      CPPUNIT_ASSERT_EQUAL(std::string("s2"), fleet.orders.acceptedOrders.at(0).candidate.Text());
+    });
+    Section("while the primary serves, the others catch up first", [&] {
+      SyncFleet fleet(6);
+      fleet.network.Server("s2").receivedPosition = { 1, 9 };
+      fleet.store.Put("operators", "evacuate-domain-s2", "{}");
+      fleet.store.Put("operators", "evacuate-domain-s1", "{}");
+      fleet.Advance(milliseconds(2000));
+      CPPUNIT_ASSERT_EQUAL(std::string("none"), fleet.Promoted());
+      fleet.network.Server("s3").receivedPosition = { 1, 9 };
+      fleet.Advance(milliseconds(1500));
+      CPPUNIT_ASSERT_EQUAL(std::string("s3"), fleet.Promoted());
+    });
+  }
+
+  void BusyReplicasAreAskedAgain()
+  {
+    SyncFleet fleet(7);
+    int refusals = 3;
+    fleet.network.Server("s3").receivedPosition = { 1, 9 };
+    fleet.network.Server("s3").refusal =
+      [&](const ServerCommand& aCommand) -> std::optional<ErrorCode> {
+      return IsStatus(aCommand) && refusals-- > 0 ? std::optional(ErrorCode::Busy) : std::nullopt;
+    };
+    fleet.CrashServer("s1");
+    const Instant crashedAt = fleet.now;
+    while (fleet.orders.acceptedOrders.empty() && fleet.now - crashedAt < seconds(16)) {
+      fleet.Advance(milliseconds(10));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string("s3"), fleet.Promoted());
+    Section("within the same attempt", [&] { CPPUNIT_ASSERT(fleet.now - crashedAt < seconds(2)); });
+  }
+
+  void CandidatesAreChosenByWhatIsKnown()
+  {
+    const ServerId first("s2");
+    const ServerId second("s3");
+    PromotionCandidates candidates;
+    candidates.replicaCount = 2;
+    candidates.readyReplicas = { first, second };
+    const auto choose = [&] { return ChooseCandidate(candidates); };
+    Section("nobody has answered", [&] {
+      CPPUNIT_ASSERT(choose().error() == NoCandidateReason::NoAnswer);
+      candidates.syncReplicas = 1;
+      CPPUNIT_ASSERT(choose().error() == NoCandidateReason::NoAnswer);
+    });
+    Section("with two confirming replicas, one answer is enough", [&] {
+      candidates.receivedPositions = { { second, { 1, 5 } } };
+      CPPUNIT_ASSERT(choose().error() == NoCandidateReason::TooFewAnswers);
+      candidates.syncReplicas = 2;
+      CPPUNIT_ASSERT(*choose() == second);
+    });
+    Section("a later term counts more than a larger number", [&] {
+      candidates.receivedPositions = { { first, { 1, 90 } }, { second, { 2, 5 } } };
+      CPPUNIT_ASSERT(*choose() == second);
+    });
+    Section("of equal ones, the ready one", [&] {
+      candidates.receivedPositions = { { first, { 1, 5 } }, { second, { 1, 5 } } };
+      CPPUNIT_ASSERT(*choose() == first);
+      candidates.readyReplicas = { second };
+      CPPUNIT_ASSERT(*choose() == second);
+    });
+    Section("without confirming replicas, only ready ones", [&] {
+      candidates.syncReplicas = 0;
+      candidates.receivedPositions = { { first, { 1, 9 } }, { second, { 1, 5 } } };
+      CPPUNIT_ASSERT(*choose() == second);
+    });
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(SyncReplicaPromotionTest);
+
+} // namespace mustardshift::proxy
--- a/tests/contracts/DatabaseNetworkContract.h
+++ b/tests/contracts/DatabaseNetworkContract.h
@@ -13,7 +13,8 @@
 
 /** What each implementation of DatabaseNetwork has to keep. The fixture has a `network`;
     Target(server) for the servers "s1", the primary, and "s2"; BreakConnections(server);
-    LoseNextAnswer(server); and WaitUntil(condition). */
+    LoseNextAnswer(server); HoldBackOneCommit(server), after which the server has not applied the
+    last commit that it has received; and WaitUntil(condition). */
 template<class Fixture>
 class DatabaseNetworkContract
 {
@@ -31,6 +32,8 @@
     Section("a transaction keeps its state between commands", [&] { this->CheckTransactions(); });
     Section("prepared statements run by their name", [&] { this->CheckPrepared(); });
     Section("replicas refuse what only the primary may run", [&] { this->CheckReplica(); });
+    Section("a status command tells what a replica has received, not only what it has applied",
+            [&] { this->CheckStatus(); });
     Section("a lost answer is reported as lost, once", [&] { this->CheckLostAnswer(); });
     Section("a connection that breaks between commands is reported, and later commands are lost",
             [&] { this->CheckBrokenConnection(); });
@@ -128,6 +131,18 @@
     CPPUNIT_ASSERT(this->Run(*link, execute).error == ErrorCode::UnknownStatement);
   }
 
+  void CheckStatus()
+  {
+    this->fixture.HoldBackOneCommit("s2");
+    const auto link = this->Open("s2");
+    const ServerReply status = this->Run(*link, Own(ServerCommandKind::Status));
+    CPPUNIT_ASSERT(status.status == ReplyStatus::Done);
+    CPPUNIT_ASSERT(status.position && status.receivedPosition);
+    CPPUNIT_ASSERT_EQUAL(status.position->term, status.receivedPosition->term);
+    CPPUNIT_ASSERT_EQUAL(status.position->offset + 1, status.receivedPosition->offset);
+    CPPUNIT_ASSERT(!this->Run(*link, Text("READ slot-1")).receivedPosition);
+  }
+
   void CheckReplica()
   {
     const auto link = this->Open("s2");
