Pause replicas and demote a leaving primary before a promotion

Callers would see, with sync_replicas: acknowledged bookings gone after a primary that was alive had been replaced. Cause: between the replicas' answers and the takeover, a live primary (leaving, or cut off from most VMs) goes on acknowledging commits through a replica that is then not promoted, or through a server that is just coming back. Change: in groups with sync_replicas, PAUSE follows the status, the choice is made by what the replicas have then, and a leaving primary is demoted before the order. The holder of the promotion lease ends a pause that no promotion ends: when it gives up, when no primary is needed any more, when it takes the lease over, and every 30 s. ServerPoller sends one command to several servers; it is taken out of the driver. Groups without sync_replicas are not paused. Why it works: with all but sync_replicas - 1 replicas paused, too few are left to acknowledge a commit; a demoted primary acknowledges none.

--- a/packages/proxy/promotion/PromotionDriver.h
+++ b/packages/proxy/promotion/PromotionDriver.h
@@ -6,13 +6,14 @@
 #include "proxy/coordination/FleetView.h"
 #include "proxy/coordination/TableStore.h"
 #include "proxy/log/EventLog.h"
-#include "proxy/pool/CommandSequence.h"
 #include "proxy/pool/ServerPool.h"
 #include "proxy/promotion/ChooseCandidate.h"
 #include "proxy/promotion/PromotionOrderSender.h"
 #include "proxy/promotion/PromotionReason.h"
+#include "proxy/promotion/ServerPoller.h"
 #include "proxy/schedule/Scheduler.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -33,20 +34,24 @@
     take effect after a later one. The holder keeps the lease as long as it renews its own row in
     the fleet table, and sends orders only until the lease expires.
 
+    In groups whose commits are acknowledged once replicas have received them, the replicas are
+    paused before the choice, and a primary that is leaving is demoted before the order: it then
+    can't acknowledge commits that the promoted replica lacks. A promotion ends the pause; where
+   none follows, the holder ends it.
+
     Thread safety: none; one thread owns the object. */
 template<DatabaseNetwork Network, TableStore Store, PromotionOrderSender Orders>
 class PromotionDriver
 {
 public:
-  /** Time that replicas have to report their log positions. */
-  static constexpr Duration kPositionTimeout = std::chrono::milliseconds(400);
-  /** Delay before a replica that was too busy to report its position is asked again. */
-  static constexpr Duration kBusyRetryDelay = std::chrono::milliseconds(20);
   /** Pause after an accepted order. The new primary appears in the list of servers within this
       time. */
   static constexpr Duration kAcceptedPause = std::chrono::seconds(3);
   /** Pause after a failed attempt. */
   static constexpr Duration kFailedPause = std::chrono::milliseconds(500);
+  /** Interval at which the replicas of a group that needs no new primary are told to receive again.
+      Covers a pause command of an earlier holder that arrived late. */
+  static constexpr Duration kResumeInterval = std::chrono::seconds(30);
 
   /** All arguments have to outlive the driver. */
   PromotionDriver(VmId aSelf,
@@ -59,14 +64,12 @@
                   Scheduler& aScheduler,
                   EventLog& aLog)
     : self(std::move(aSelf))
-    , pool(aPool)
     , store(aStore)
     , orders(aOrders)
     , cluster(aCluster)
     , fleet(aFleet)
-    , health(aHealth)
-    , scheduler(aScheduler)
     , log(aLog)
+    , poller(aPool, aCluster, aHealth, aScheduler)
   {
   }
   PromotionDriver(const PromotionDriver&) = delete;
@@ -86,6 +89,11 @@
       if (aNow < aLeaseUntil && this->MayClaimNow()) {
         this->ClaimPromotionLease();
       }
+      // Another holder can pause replicas and then stop. If this VM takes the lease over, it ends
+      // such a pause.
+      for (auto& [group, state] : this->groupStates) {
+        state.nextResumeAt = aNow;
+      }
       return;
     }
     for (const auto& [group, limit] : this->cluster.Configuration().connectionLimits) {
@@ -96,6 +104,7 @@
       const auto reason = FindPromotionReason(aNow, group, this->cluster, this->fleet);
       if (!reason) {
         state.rejectedCandidates.clear();
+        this->ResumeReplicas(aNow, group);
         continue;
       }
       this->CollectPositions(aNow, group, *reason);
@@ -114,18 +123,21 @@
   }
 
 private:
+  using Replies = typename ServerPoller<Network>::Replies;
+
   /** State of the promotion in one group. */
   struct GroupState
   {
     bool isRunning = false;
     Instant nextAttemptAt{};
-    /** Number of the current round of position requests; answers of earlier rounds are ignored. */
-    std::uint64_t round = 0;
     PromotionCandidates candidates;
-    std::size_t pendingAnswers = 0;
     /** Servers whose promotion the platform has rejected since the group began to need a new
         primary. */
     std::set<ServerId> rejectedCandidates;
+    /** Term above the newest one that the replicas know. */
+    std::uint64_t nextTerm = 0;
+    /** Instant from which the replicas are told to receive again, unless a primary is needed. */
+    Instant nextResumeAt{};
   };
 
   void LogHolderChange(Instant aNow)
@@ -220,14 +232,17 @@
       return;
     }
     state.isRunning = true;
-    state.pendingAnswers = replicas.size();
-    const std::uint64_t round = ++state.round;
-    for (const ServerId& replica : replicas) {
-      this->RequestPosition(aNow, { aGroup, replica, round, aNow + kPositionTimeout });
-    }
-    this->scheduler.Schedule(aNow + kPositionTimeout, [this, aGroup, round](Instant aThen) {
-      this->OnPositionsCollected(aThen, aGroup, round);
-    });
+    ServerCommand status;
+    status.kind = ServerCommandKind::Status;
+    // Where commits are acknowledged without the replicas, what a busy one has applied decides at
+    // once.
+    this->poller.Run(aNow,
+                     replicas,
+                     status,
+                     state.candidates.syncReplicas > 0,
+                     [this, aGroup](Instant aThen, const Replies& aReplies) {
+                       this->OnStatus(aThen, aGroup, aReplies);
+                     });
   }
 
   PromotionCandidates FindReplicas(const DatabaseName& aGroup, PromotionReason aReason) const
@@ -262,6 +277,11 @@
       }
       return replicas;
     }
+    return this->ReplicasOf(aGroup);
+  }
+
+  std::set<ServerId> ReplicasOf(const DatabaseName& aGroup) const
+  {
     const std::vector<ServerId> servers = this->cluster.ServersOf(aGroup);
     std::set<ServerId> replicas(servers.begin(), servers.end());
     if (const auto primary = this->cluster.PrimaryOf(aGroup)) {
@@ -270,131 +290,172 @@
     return replicas;
   }
 
-  /** A request for the position of one replica. */
-  struct PositionRequest
-  {
-    DatabaseName group;
-    ServerId replica;
-    std::uint64_t round = 0;
-    Instant deadline{};
-  };
-
-  void RequestPosition(Instant aNow, const PositionRequest& aRequest)
+  void OnStatus(Instant aNow, const DatabaseName& aGroup, const Replies& aReplies)
   {
-    ConnectionRequest<Network> request;
-    request.organisation = this->OrganisationFor(aRequest.replica);
-    request.candidates = { { aRequest.replica, 0 } };
-    request.deadline = aRequest.deadline;
-    request.handler = [this, aRequest](Instant aThen, PooledConnection<Network>* aConnection) {
-      if (aConnection == nullptr) {
-        return;
+    PromotionCandidates& candidates = this->groupStates[aGroup].candidates;
+    std::uint64_t newestTerm = 0;
+    for (const auto& [replica, reply] : aReplies) {
+      if (reply.serverStatus) {
+        candidates.receivedPositions[replica] = reply.serverStatus->receivedPosition;
+        newestTerm = std::max(newestTerm, reply.serverStatus->newestTerm);
+      } else if (candidates.syncReplicas == 0 && reply.position) {
+        candidates.receivedPositions[replica] = *reply.position;
       }
-      ServerCommand status;
-      status.kind = ServerCommandKind::Status;
-      const auto timer =
-        this->scheduler.Schedule(aThen + kPositionTimeout, [this, aConnection](Instant aLater) {
-          this->pool.Discard(aLater, aConnection);
-        });
-      CommandSequence<Network>::Run(
-        aThen,
-        *aConnection,
-        this->health,
-        { std::move(status) },
-        [this, aRequest, aConnection, timer](Instant aLater, const CommandSequenceResult& aResult) {
-          this->scheduler.Cancel(timer);
-          if (aResult.reply.status == ReplyStatus::Lost) {
-            this->pool.Discard(aLater, aConnection);
-          } else {
-            this->pool.Release(aLater, aConnection);
-            this->OnStatus(aLater, aRequest, aResult.reply);
-          }
-        });
-    };
-    this->pool.Acquire(aNow, std::move(request));
+    }
+    const std::optional<ServerId> candidate = this->Decide(aNow, aGroup);
+    if (!candidate) {
+      return;
+    }
+    if (candidates.syncReplicas == 0) {
+      this->Order(aGroup, *candidate);
+      return;
+    }
+    this->groupStates[aGroup].nextTerm = newestTerm + 1;
+    this->PauseReplicas(aNow, aGroup);
   }
 
-  /** Returns the organisation for which a connection is requested. Each connection belongs to an
-      organisation; the status can be queried on a connection of any organisation. */
-  OrganisationName OrganisationFor(const ServerId& aServer) const
+  void PauseReplicas(Instant aNow, const DatabaseName& aGroup)
   {
-    const auto idleOrganisation = this->pool.IdleOrganisation(aServer);
-    if (idleOrganisation) {
-      return *idleOrganisation;
+    GroupState& state = this->groupStates[aGroup];
+    state.nextResumeAt = aNow;
+    std::set<ServerId> replicas;
+    for (const auto& [replica, position] : state.candidates.receivedPositions) {
+      replicas.insert(replica);
     }
-    const auto& limits = this->cluster.Configuration().limits;
-    return limits.empty() ? OrganisationName() : limits.begin()->first;
+    this->log.WriteAlways(aNow,
+                          "promotion",
+                          "pausing",
+                          { { "group", aGroup.Text() },
+                            { "term", std::to_string(state.nextTerm) },
+                            { "positions", PositionsText(state.candidates) } });
+    ServerCommand pause;
+    pause.kind = ServerCommandKind::Pause;
+    pause.term = state.nextTerm;
+    this->poller.Run(
+      aNow, replicas, pause, true, [this, aGroup](Instant aThen, const Replies& aReplies) {
+        this->OnPaused(aThen, aGroup, aReplies);
+      });
   }
 
-  void OnStatus(Instant aNow, const PositionRequest& aRequest, const ServerReply& aReply)
+  void OnPaused(Instant aNow, const DatabaseName& aGroup, const Replies& aReplies)
   {
-    GroupState& state = this->groupStates[aRequest.group];
-    if (state.round != aRequest.round) {
-      return;
+    PromotionCandidates& candidates = this->groupStates[aGroup].candidates;
+    const auto positionsBefore = std::exchange(candidates.receivedPositions, {});
+    for (const auto& [replica, reply] : aReplies) {
+      // A replica that refuses goes on receiving; its status is the best that is known of it.
+      if (!reply.serverStatus) {
+        this->log.WriteAlways(aNow,
+                              "promotion",
+                              "not-paused",
+                              { { "group", aGroup.Text() },
+                                { "replica", replica.Text() },
+                                { "error", std::string(NameOf(kErrorCodeNames, reply.error)) } });
+      }
+      candidates.receivedPositions[replica] =
+        reply.serverStatus ? reply.serverStatus->receivedPosition : positionsBefore.at(replica);
     }
-    std::optional<LogPosition> position = aReply.receivedPosition;
-    if (!position && state.candidates.syncReplicas == 0) {
-      // What the replica has applied is a lower bound. It decides at once, since commits of this
-      // group are acknowledged without the replicas anyway.
-      position = aReply.position;
+    if (const std::optional<ServerId> candidate = this->Decide(aNow, aGroup)) {
+      this->DemotePrimary(aNow, aGroup, *candidate);
+    } else if (this->IsHolder(aNow)) {
+      this->ResumeReplicas(aNow, aGroup);
     }
-    if (position) {
-      state.candidates.receivedPositions[aRequest.replica] = *position;
-      if (--state.pendingAnswers == 0) {
-        this->OnPositionsCollected(aNow, aRequest.group, aRequest.round);
-      }
+  }
+
+  /** Demotes a primary that still serves, then orders the promotion. The primary could acknowledge
+      commits through a replica that is not listed, for example one that is just coming back. */
+  void DemotePrimary(Instant aNow, const DatabaseName& aGroup, const ServerId& aCandidate)
+  {
+    const GroupState& state = this->groupStates[aGroup];
+    const std::optional<ServerId> primary = this->cluster.PrimaryOf(aGroup);
+    if (!state.candidates.isPrimaryServing || !primary) {
+      this->Order(aGroup, aCandidate);
       return;
     }
-    this->log.Write(
+    ServerCommand demote;
+    demote.kind = ServerCommandKind::Demote;
+    demote.term = state.nextTerm;
+    this->poller.Run(
       aNow,
-      "promotion",
-      "position-unknown",
-      { { "group", aRequest.group.Text() },
-        { "replica", aRequest.replica.Text() },
-        { "error",
-          aReply.status == ReplyStatus::Refused ? std::string(NameOf(kErrorCodeNames, aReply.error))
-                                                : std::string("unreadable") } });
-    if (aReply.status == ReplyStatus::Refused && aReply.error == ErrorCode::Busy &&
-        aNow + kBusyRetryDelay < aRequest.deadline) {
-      this->scheduler.Schedule(aNow + kBusyRetryDelay, [this, aRequest](Instant aThen) {
-        if (this->groupStates[aRequest.group].round == aRequest.round) {
-          this->RequestPosition(aThen, aRequest);
-        }
+      { *primary },
+      demote,
+      true,
+      [this, aGroup, aCandidate, primary = *primary](Instant aThen, const Replies& aReplies) {
+        const auto reply = aReplies.find(primary);
+        this->log.WriteAlways(
+          aThen,
+          "promotion",
+          "demoted",
+          { { "group", aGroup.Text() },
+            { "primary", primary.Text() },
+            { "result",
+              reply == aReplies.end() ? std::string("no-answer")
+              : reply->second.serverStatus
+                ? std::string("done")
+                : std::string(NameOf(kErrorCodeNames, reply->second.error)) } });
+        this->Order(aGroup, aCandidate);
       });
-    }
   }
 
-  void OnPositionsCollected(Instant aNow, const DatabaseName& aGroup, std::uint64_t aRound)
+  /** Tells the replicas of a group with acknowledging replicas to receive again, if this is due. */
+  void ResumeReplicas(Instant aNow, const DatabaseName& aGroup)
   {
     GroupState& state = this->groupStates[aGroup];
-    if (state.round != aRound || !state.isRunning) {
+    if (!this->cluster.Configuration().syncReplicas.contains(aGroup) || aNow < state.nextResumeAt) {
       return;
     }
-    ++state.round;
-    const auto candidate = ChooseCandidate(state.candidates);
-    const auto reason = FindPromotionReason(aNow, aGroup, this->cluster, this->fleet);
-    if (!candidate || !reason || !this->IsHolder(aNow)) {
-      this->log.WriteAlways(
-        aNow,
-        "promotion",
-        "given-up",
-        { { "group", aGroup.Text() },
-          { "why",
-            !candidate ? std::string(NameOf(kNoCandidateReasonNames, candidate.error()))
-                       : (!reason ? "no longer needed" : "promotion lease lost") },
-          { "positions", PositionsText(state.candidates) } });
-      this->EndAttempt(aNow, aGroup, kFailedPause);
+    state.nextResumeAt = aNow + kResumeInterval;
+    const std::set<ServerId> replicas = this->ReplicasOf(aGroup);
+    if (replicas.empty()) {
       return;
     }
-    this->AdvanceFencingToken(
-      [this, aGroup, candidate = *candidate](Instant aThen, auto aFencingToken) {
-        if (!aFencingToken || !this->IsHolder(aThen)) {
-          this->EndAttempt(aThen, aGroup, kFailedPause);
-          return;
+    ServerCommand resume;
+    resume.kind = ServerCommandKind::Resume;
+    this->poller.Run(
+      aNow,
+      replicas,
+      resume,
+      true,
+      [this, aGroup, count = replicas.size()](Instant aThen, const Replies& aReplies) {
+        if (aReplies.size() < count) {
+          this->groupStates[aGroup].nextResumeAt = aThen + kFailedPause;
         }
-        this->SendOrder(aThen, aGroup, candidate, *aFencingToken);
       });
   }
 
+  /** Chooses the replica to promote. Ends the attempt, and returns nothing, if there is none or if
+     no promotion is due any more. */
+  std::optional<ServerId> Decide(Instant aNow, const DatabaseName& aGroup)
+  {
+    const PromotionCandidates& candidates = this->groupStates[aGroup].candidates;
+    const auto candidate = ChooseCandidate(candidates);
+    const auto reason = FindPromotionReason(aNow, aGroup, this->cluster, this->fleet);
+    if (candidate && reason && this->IsHolder(aNow)) {
+      return *candidate;
+    }
+    this->log.WriteAlways(
+      aNow,
+      "promotion",
+      "given-up",
+      { { "group", aGroup.Text() },
+        { "why",
+          !candidate ? std::string(NameOf(kNoCandidateReasonNames, candidate.error()))
+                     : (!reason ? "no longer needed" : "promotion lease lost") },
+        { "positions", PositionsText(candidates) } });
+    this->EndAttempt(aNow, aGroup, kFailedPause);
+    return std::nullopt;
+  }
+
+  void Order(const DatabaseName& aGroup, const ServerId& aCandidate)
+  {
+    this->AdvanceFencingToken([this, aGroup, aCandidate](Instant aThen, auto aFencingToken) {
+      if (!aFencingToken || !this->IsHolder(aThen)) {
+        this->EndAttempt(aThen, aGroup, kFailedPause);
+        return;
+      }
+      this->SendOrder(aThen, aGroup, aCandidate, *aFencingToken);
+    });
+  }
+
   /** Positions that replicas have reported, for the log. */
   static std::string PositionsText(const PromotionCandidates& aCandidates)
   {
@@ -445,14 +506,12 @@
   }
 
   VmId self;
-  ServerPool<Network>& pool;
   Store& store;
   Orders& orders;
   ClusterState& cluster;
   FleetView& fleet;
-  ServerHealth& health;
-  Scheduler& scheduler;
   EventLog& log;
+  ServerPoller<Network> poller;
   Instant leaseUntil{};
   std::map<DatabaseName, GroupState> groupStates;
   /** The holder that was most recently logged. */
--- a/packages/proxy/statement/ServerCommand.h
+++ b/packages/proxy/statement/ServerCommand.h
@@ -3,6 +3,7 @@
 #include "core/session/LogPosition.h"
 #include "proxy/statement/AccessKind.h"
 
+#include <cstdint>
 #include <optional>
 #include <string>
 
@@ -22,8 +23,14 @@
   Rollback,
   /** Removes the session variables and the prepared statements of the connection. */
   Reset,
-  /** Requests ServerReply::receivedPosition. */
+  /** Requests ServerReply::serverStatus. */
   Status,
+  /** Makes a replica receive nothing until Resume, the next promotion, or its restart. Refused
+      unless `term` is above the newest term. */
+  Pause,
+  Resume,
+  /** Makes a primary a replica if its term is below `term`. */
+  Demote,
 };
 
 struct ServerCommand
@@ -38,6 +45,8 @@
   /** Value (SetVariable), statement text (Prepare) or arguments (Execute). */
   std::string body;
   AccessKind access = AccessKind::Read;
+  /** Pause and Demote only. */
+  std::uint64_t term = 0;
   /** The server refuses the command as Lagging unless its log contains this position. */
   std::optional<LogPosition> minimumPosition;
 };
--- a/packages/proxy/statement/ServerReply.h
+++ b/packages/proxy/statement/ServerReply.h
@@ -2,6 +2,7 @@
 
 #include "core/session/LogPosition.h"
 #include "proxy/statement/ErrorCode.h"
+#include "proxy/statement/ServerStatus.h"
 #include "proxy/statement/TransactionState.h"
 
 #include <optional>
@@ -32,9 +33,8 @@
   TransactionState state = TransactionState::Idle;
   /** Position up to which the server had applied its log when it answered. */
   std::optional<LogPosition> position;
-  /** End of what the server has received, in replies to ServerCommandKind::Status. The server may
-      not have applied all of it yet; a server that is promoted keeps all of it. */
-  std::optional<LogPosition> receivedPosition;
+  /** Set in replies to Status, Pause, Resume and Demote commands, unless the server refused. */
+  std::optional<ServerStatus> serverStatus;
 };
 
 } // namespace mustardshift::proxy
--- a/packages/proxy/tests/FakeNetwork.cpp
+++ b/packages/proxy/tests/FakeNetwork.cpp
@@ -34,6 +34,12 @@
   return slot;
 }
 
+ServerStatus FakeServer::Status() const
+{
+  return { std::max(this->position.term, this->pausedTerm),
+           this->receivedPosition.value_or(this->position) };
+}
+
 FakeNetwork::Link::Link(FakeNetwork& aNetwork, FakeServer& aServer, OrganisationName aOrganisation)
   : network(aNetwork)
   , server(aServer)
@@ -160,8 +166,24 @@
     case ServerCommandKind::Rollback:
       this->isInTransaction = false;
       break;
+    case ServerCommandKind::Pause:
+      if (aCommand.term <= std::max(this->server.position.term, this->server.pausedTerm)) {
+        return Refuse(ErrorCode::Failed, state(), this->server.position);
+      }
+      this->server.pausedTerm = aCommand.term;
+      reply.serverStatus = this->server.Status();
+      break;
+    case ServerCommandKind::Resume:
+      this->server.pausedTerm = 0;
+      reply.serverStatus = this->server.Status();
+      break;
+    case ServerCommandKind::Demote:
+      this->server.isPrimary =
+        this->server.isPrimary && aCommand.term <= this->server.position.term;
+      reply.serverStatus = this->server.Status();
+      break;
     case ServerCommandKind::Status:
-      reply.receivedPosition = this->server.receivedPosition.value_or(this->server.position);
+      reply.serverStatus = this->server.Status();
       break;
     case ServerCommandKind::Forward:
     case ServerCommandKind::Execute:
@@ -263,6 +285,7 @@
     if (server.group != promoted.group) {
       continue;
     }
+    server.pausedTerm = 0;
     server.termStartOffset = promoted.position.offset;
     server.position = { term + 1, std::min(server.position.offset, promoted.position.offset) };
   }
--- a/packages/proxy/tests/FakeNetwork.h
+++ b/packages/proxy/tests/FakeNetwork.h
@@ -51,6 +51,8 @@
   LogPosition position{ 1, 0 };
   /** End of what the server has received, if it has not applied all of it. */
   std::optional<LogPosition> receivedPosition;
+  /** Term for which the server receives nothing; 0 if it is not paused. */
+  std::uint64_t pausedTerm = 0;
   /** Offset at which the term of `position` began. */
   std::uint64_t termStartOffset = 0;
   /** The server does not reply on any connection. */
@@ -69,6 +71,8 @@
   /** Occupies a slot for aTime, starting when one is free. Returns the end of that time. */
   Instant OccupySlot(Instant aNow, Duration aTime);
 
+  ServerStatus Status() const;
+
   /** Returns whether the log contains the entry at a position. Entries of an earlier term may have
       been truncated. */
   bool HasLogUpTo(LogPosition aPosition) const
--- a/packages/proxy/tests/SyncReplicaPromotionTest.cpp
+++ b/packages/proxy/tests/SyncReplicaPromotionTest.cpp
@@ -4,7 +4,10 @@
 
 #include <chrono>
 #include <cppunit/extensions/HelperMacros.h>
+#include <cstdint>
+#include <optional>
 #include <string>
+#include <vector>
 
 namespace mustardshift::proxy {
 
@@ -51,6 +54,8 @@
   CPPUNIT_TEST(NoReplicaIsPromotedWhileAnotherMayHoldMore);
   CPPUNIT_TEST(LeavingReplicasCountToo);
   CPPUNIT_TEST(BusyReplicasAreAskedAgain);
+  CPPUNIT_TEST(ALivePrimaryAcknowledgesNothingDuringThePromotion);
+  CPPUNIT_TEST(APauseEndsWithoutAPromotion);
   CPPUNIT_TEST(CandidatesAreChosenByWhatIsKnown);
   CPPUNIT_TEST_SUITE_END();
 
@@ -149,6 +154,105 @@
     Section("within the same attempt", [&] { CPPUNIT_ASSERT(fleet.now - crashedAt < seconds(2)); });
   }
 
+  /** Guards against a primary that most VMs can't reach, or that is leaving, and that goes on
+      acknowledging commits after the replicas were asked: the promoted one would lack them. */
+  void ALivePrimaryAcknowledgesNothingDuringThePromotion()
+  {
+    SyncFleet fleet(8);
+    // Commits arrive at s3 between its status and its pause.
+    fleet.network.Server("s3").behaviour = [&](const ServerCommand& aCommand) {
+      if (aCommand.kind == ServerCommandKind::Pause) {
+        fleet.network.Server("s3").receivedPosition = { 1, 9 };
+      }
+      return test::CommandBehaviour::Answer;
+    };
+    std::vector<std::uint64_t> pausedTerms;
+    bool isPrimaryDemoted = false;
+    const auto promote = fleet.orders.onAccepted;
+    fleet.orders.onAccepted = [&](const PromotionOrder& aOrder) {
+      for (const char* replica : { "s2", "s3" }) {
+        pausedTerms.push_back(fleet.network.Server(replica).pausedTerm);
+      }
+      isPrimaryDemoted = !fleet.network.Server("s1").isPrimary;
+      promote(aOrder);
+    };
+    fleet.store.Put("operators", "evacuate-domain-s1", "{}");
+    fleet.Advance(seconds(3));
+    Section("the old primary takes no more writes then", [&] { CPPUNIT_ASSERT(isPrimaryDemoted); });
+    Section("both replicas receive nothing when the order is sent", [&] {
+      CPPUNIT_ASSERT((pausedTerms == std::vector<std::uint64_t>{ 2, 2 }));
+    });
+    Section("the choice is made by what they have then",
+            [&] { CPPUNIT_ASSERT_EQUAL(std::string("s3"), fleet.Promoted()); });
+    Section("groups whose commits are acknowledged without replicas are not paused", [&] {
+      FleetSimulation otherFleet(4, 9);
+      bool isPaused = false;
+      otherFleet.network.Server("s3").behaviour = [&](const ServerCommand& aCommand) {
+        isPaused = isPaused || aCommand.kind == ServerCommandKind::Pause;
+        return test::CommandBehaviour::Answer;
+      };
+      otherFleet.store.Put("operators", "evacuate-domain-s1", "{}");
+      otherFleet.Advance(seconds(3));
+      CPPUNIT_ASSERT_EQUAL(std::size_t(1), otherFleet.orders.acceptedOrders.size());
+      CPPUNIT_ASSERT(!isPaused);
+    });
+  }
+
+  /** Guards against replicas that stay paused when no promotion follows: their primary could not
+      acknowledge any commit. */
+  void APauseEndsWithoutAPromotion()
+  {
+    const auto isPaused = [](SyncFleet& aFleet) {
+      return aFleet.network.Server("s2").pausedTerm != 0 ||
+             aFleet.network.Server("s3").pausedTerm != 0;
+    };
+    Section("when a replica can't be paused in time", [&] {
+      SyncFleet fleet(10);
+      fleet.network.Server("s3").behaviour = [](const ServerCommand& aCommand) {
+        return aCommand.kind == ServerCommandKind::Pause ? test::CommandBehaviour::NoReply
+                                                         : test::CommandBehaviour::Answer;
+      };
+      fleet.store.Put("operators", "evacuate-domain-s1", "{}");
+      const Instant evacuatedAt = fleet.now;
+      while (!isPaused(fleet) && fleet.now - evacuatedAt < seconds(5)) {
+        fleet.Advance(milliseconds(10));
+      }
+      CPPUNIT_ASSERT(isPaused(fleet));
+      fleet.Advance(milliseconds(450));
+      CPPUNIT_ASSERT(!isPaused(fleet));
+      CPPUNIT_ASSERT_EQUAL(std::string("none"), fleet.Promoted());
+    });
+    Section("when the holder has stopped after the pause", [&] {
+      SyncFleet fleet(11);
+      fleet.network.Server("s2").pausedTerm = 2;
+      fleet.network.Server("s3").pausedTerm = 2;
+      fleet.Kill(0);
+      fleet.Advance(seconds(6));
+      CPPUNIT_ASSERT(!isPaused(fleet));
+      CPPUNIT_ASSERT_EQUAL(std::string("none"), fleet.Promoted());
+    });
+    Section("when its command arrived late", [&] {
+      SyncFleet fleet(12);
+      fleet.Advance(seconds(2));
+      fleet.network.Server("s2").pausedTerm = 2;
+      fleet.Advance(seconds(35));
+      CPPUNIT_ASSERT(!isPaused(fleet));
+    });
+    Section("when the first command to resume is lost", [&] {
+      SyncFleet fleet(13);
+      int lost = 1;
+      fleet.network.Server("s2").behaviour = [&](const ServerCommand& aCommand) {
+        return aCommand.kind == ServerCommandKind::Resume && lost-- > 0
+                 ? test::CommandBehaviour::BreakBeforeRun
+                 : test::CommandBehaviour::Answer;
+      };
+      fleet.network.Server("s2").pausedTerm = 2;
+      fleet.Kill(0);
+      fleet.Advance(seconds(7));
+      CPPUNIT_ASSERT(!isPaused(fleet));
+    });
+  }
+
   void CandidatesAreChosenByWhatIsKnown()
   {
     const ServerId first("s2");
--- a/tests/contracts/DatabaseNetworkContract.h
+++ b/tests/contracts/DatabaseNetworkContract.h
@@ -32,9 +32,10 @@
     Section("a transaction keeps its state between commands", [&] { this->CheckTransactions(); });
     Section("prepared statements run by their name", [&] { this->CheckPrepared(); });
     Section("replicas refuse what only the primary may run", [&] { this->CheckReplica(); });
-    Section("a status command tells what a replica has received, not only what it has applied",
+    Section("a replica tells what it has received, not only what it has applied, and can be paused",
             [&] { this->CheckStatus(); });
     Section("a lost answer is reported as lost, once", [&] { this->CheckLostAnswer(); });
+    Section("a primary that is demoted refuses writes", [&] { this->CheckDemotion(); });
     Section("a connection that breaks between commands is reported, and later commands are lost",
             [&] { this->CheckBrokenConnection(); });
   }
@@ -137,10 +138,31 @@
     const auto link = this->Open("s2");
     const ServerReply status = this->Run(*link, Own(ServerCommandKind::Status));
     CPPUNIT_ASSERT(status.status == ReplyStatus::Done);
-    CPPUNIT_ASSERT(status.position && status.receivedPosition);
-    CPPUNIT_ASSERT_EQUAL(status.position->term, status.receivedPosition->term);
-    CPPUNIT_ASSERT_EQUAL(status.position->offset + 1, status.receivedPosition->offset);
-    CPPUNIT_ASSERT(!this->Run(*link, Text("READ slot-1")).receivedPosition);
+    CPPUNIT_ASSERT(status.position && status.serverStatus);
+    CPPUNIT_ASSERT_EQUAL(status.position->term, status.serverStatus->receivedPosition.term);
+    CPPUNIT_ASSERT_EQUAL(status.position->offset + 1, status.serverStatus->receivedPosition.offset);
+    CPPUNIT_ASSERT(!this->Run(*link, Text("READ slot-1")).serverStatus);
+    ServerCommand pause = Own(ServerCommandKind::Pause);
+    pause.term = status.serverStatus->newestTerm;
+    CPPUNIT_ASSERT(this->Run(*link, pause).status == ReplyStatus::Refused);
+    ++pause.term;
+    const ServerReply paused = this->Run(*link, pause);
+    CPPUNIT_ASSERT(paused.status == ReplyStatus::Done);
+    CPPUNIT_ASSERT_EQUAL(pause.term, paused.serverStatus->newestTerm);
+    const ServerReply resumed = this->Run(*link, Own(ServerCommandKind::Resume));
+    CPPUNIT_ASSERT_EQUAL(status.serverStatus->newestTerm, resumed.serverStatus->newestTerm);
+  }
+
+  void CheckDemotion()
+  {
+    const auto link = this->Open("s1");
+    ServerCommand demote = Own(ServerCommandKind::Demote);
+    demote.term = this->Run(*link, Own(ServerCommandKind::Status)).serverStatus->newestTerm;
+    CPPUNIT_ASSERT(this->Run(*link, demote).serverStatus);
+    CPPUNIT_ASSERT(this->Run(*link, Text("WRITE slot-1 uwase")).status == ReplyStatus::Done);
+    ++demote.term;
+    CPPUNIT_ASSERT(this->Run(*link, demote).serverStatus);
+    CPPUNIT_ASSERT(this->Run(*link, Text("WRITE slot-1 uwase")).error == ErrorCode::ReadOnly);
   }
 
   void CheckReplica()
