Name prepared statements by one word, whatever their text is

Callers saw: a statement prepared with a text of several words ran on another item, was prepared with another access, or was rejected by the server.

Cause: the name at the server was made of the whole text, and a blank in it shifted the fields behind the name.

Measured: SessionEndToEndTest::PreparedTextsKeepTheirWords failed before (the EXECUTE was not run as the prepared write).

--- a/packages/adapters/schema/SchemaReader.cpp
+++ b/packages/adapters/schema/SchemaReader.cpp
@@ -1,6 +1,7 @@
 #include "adapters/schema/SchemaReader.h"
 
 #include "adapters/settings/YamlMap.h"
+#include "core/base/Sha256.h"
 
 #include <algorithm>
 #include <chrono>
@@ -43,14 +44,6 @@
   return aList + "[" + std::to_string(aIndex) + "]";
 }
 
-bool IsSha256Hex(const std::string& aText)
-{
-  return aText.size() == 64 && std::all_of(aText.begin(), aText.end(), [](char aCharacter) {
-           return (aCharacter >= '0' && aCharacter <= '9') ||
-                  (aCharacter >= 'a' && aCharacter <= 'f');
-         });
-}
-
 /** Tells whether a key has been reported since it is neither true nor false. */
 bool HasFaultyFlag(const YamlMap& aMap, const std::string& aKey)
 {
--- a/packages/core/configuration/KeyHash.h
+++ b/packages/core/configuration/KeyHash.h
@@ -17,8 +17,4 @@
     Thread safety: pure function. */
 std::string KeyHash(std::string_view aKey);
 
-/** Returns whether a text has the form of a SHA-256: 64 lower-case hexadecimal digits.
-    Thread safety: pure function. */
-bool IsSha256Hex(std::string_view aText);
-
 } // namespace mustardshift
--- a/packages/core/configuration/KeyIndex.cpp
+++ b/packages/core/configuration/KeyIndex.cpp
@@ -1,5 +1,6 @@
 #include "core/configuration/KeyIndex.h"
 
+#include "core/base/Sha256.h"
 #include "core/configuration/KeyHash.h"
 
 #include <openssl/crypto.h>
--- a/packages/core/configuration/ValidateConfiguration.cpp
+++ b/packages/core/configuration/ValidateConfiguration.cpp
@@ -1,5 +1,6 @@
 #include "core/configuration/ValidateConfiguration.h"
 
+#include "core/base/Sha256.h"
 #include "core/configuration/KeyHash.h"
 
 #include <arpa/inet.h>
--- a/packages/core/mustardshift_core.h
+++ b/packages/core/mustardshift_core.h
@@ -12,6 +12,7 @@
 #include "core/base/NameTable.h"
 #include "core/base/Names.h"
 #include "core/base/Outcome.h"
+#include "core/base/Sha256.h"
 #include "core/base/VerdictTable.h"
 #include "core/configuration/ApplyChange.h"
 #include "core/configuration/ConfigurationCodec.h"
--- a/packages/proxy/session/ClientSession.h
+++ b/packages/proxy/session/ClientSession.h
@@ -444,7 +444,7 @@
     command.requestId = this->activeStatement->requestId;
     if (this->activeStatement->statement.kind == StatementKind::Execute) {
       command.kind = ServerCommandKind::Execute;
-      command.name = this->FindPrepared()->ServerSideName();
+      command.name = this->FindPrepared()->serverSideName;
       command.body = this->activeStatement->statement.body;
     } else {
       command.kind = ServerCommandKind::Forward;
--- a/packages/proxy/session/PreparedStatement.h
+++ b/packages/proxy/session/PreparedStatement.h
@@ -11,13 +11,13 @@
 {
   AccessKind access = AccessKind::Read;
   std::string text;
-
-  /** Name of the prepared statement on server connections. Sessions that prepare the same text
-      share it, whatever names their clients chose. */
-  std::string ServerSideName() const
-  {
-    return (this->access == AccessKind::Read ? "r_" : "w_") + this->text;
-  }
+  /** Name of the prepared statement on server connections, one word whatever the text is. Sessions
+      that prepare the same text share it, whatever names their clients chose. */
+  std::string serverSideName;
 };
 
+/** Makes a prepared statement with the name that belongs to its access and text.
+    Thread safety: pure. */
+PreparedStatement MakePreparedStatement(AccessKind aAccess, std::string aText);
+
 } // namespace mustardshift::proxy
--- a/packages/proxy/session/SessionState.cpp
+++ b/packages/proxy/session/SessionState.cpp
@@ -11,7 +11,8 @@
       this->variables[aStatement.name] = aStatement.body;
       return;
     case StatementKind::Prepare:
-      this->preparedStatements[aStatement.name] = { aStatement.access, aStatement.body };
+      this->preparedStatements[aStatement.name] =
+        MakePreparedStatement(aStatement.access, aStatement.body);
       return;
     case StatementKind::Deallocate:
       this->preparedStatements.erase(aStatement.name);
--- a/packages/proxy/session/SetupCommands.cpp
+++ b/packages/proxy/session/SetupCommands.cpp
@@ -35,10 +35,10 @@
     commands.push_back(std::move(set));
   }
   if (aPreparedStatement != nullptr &&
-      (needsReset || !aConnectionPreparedNames.contains(aPreparedStatement->ServerSideName()))) {
+      (needsReset || !aConnectionPreparedNames.contains(aPreparedStatement->serverSideName))) {
     ServerCommand prepare;
     prepare.kind = ServerCommandKind::Prepare;
-    prepare.name = aPreparedStatement->ServerSideName();
+    prepare.name = aPreparedStatement->serverSideName;
     prepare.body = aPreparedStatement->text;
     prepare.access = aPreparedStatement->access;
     commands.push_back(std::move(prepare));
