--- a/packages/proxy/SessionProxy.h
+++ b/packages/proxy/SessionProxy.h
@@ -313,9 +313,12 @@
   void ApplyConfiguration(Instant aNow, SessionConfiguration aConfiguration)
   {
     const std::string version = std::to_string(aConfiguration.version);
+    const std::string unusable = std::to_string(aConfiguration.unusableOrganisations);
     const bool isApplied = this->cluster.ApplyConfigurationIfNewer(std::move(aConfiguration));
-    this->log.WriteAlways(
-      aNow, "configuration", isApplied ? "in-force" : "not-newer", { { "version", version } });
+    this->log.WriteAlways(aNow,
+                          "configuration",
+                          isApplied ? "in-force" : "not-newer",
+                          { { "version", version }, { "unusable_organisations", unusable } });
     if (isApplied) {
       this->coordinator.ApplyShares(aNow);
     }
--- a/packages/proxy/cluster/SessionConfiguration.h
+++ b/packages/proxy/cluster/SessionConfiguration.h
@@ -36,6 +36,8 @@
   /** Number of replicas that have received a commit before the primary acknowledges it, by group.
       Groups that are missing acknowledge commits which only the primary has. */
   std::map<DatabaseName, unsigned> syncReplicas;
+  /** Number of organisations that were left out because their name can't be sent to a server. */
+  unsigned unusableOrganisations = 0;
   /** A transaction that is idle for longer than this is rolled back. */
   Duration transactionIdleTimeout{ std::chrono::seconds(3) };
 };
