Compare the key's organisation with the connection's before each statement

On related paths: a statement ran whose key was withdrawn while it waited for a connection, and a public transaction was refused when its route became private.

Cause: the look-up at the start of a statement replaced the session's organisation, and nothing compared it with that of the connection; it was not repeated when the statement was sent.

Change: RunStatement, through which all statements of clients are sent, compares them; a difference ends the transaction with ABORTED. An open transaction keeps its route and organisation.

--- a/packages/proxy/session/ClientSession.h
+++ b/packages/proxy/session/ClientSession.h
@@ -167,6 +167,7 @@
   };
 
   static constexpr const char* kStopping = "this VM is stopping";
+  static constexpr const char* kNotAllowed = "the configuration in force doesn't allow it";
 
   static std::string NameText(ErrorCode aCode)
   {
@@ -177,19 +178,47 @@
     return std::to_string(this->context.cluster.Configuration().version);
   }
 
-  /** Looks up the route and the organisation in the configuration in force. */
+  /** Looks up the route and the organisation in the configuration in force. A transaction that is
+      open at a server keeps both until it ends; CheckOrganisation() checks its key. */
   std::optional<ErrorCode> CheckAccess(Instant aNow)
   {
+    if (this->transaction == Transaction::Open) {
+      const bool hasRoute = this->context.cluster.Configuration().routes.contains(this->database);
+      return hasRoute ? std::nullopt : std::optional(ErrorCode::UnknownDatabase);
+    }
     auto found = FindSessionAccess(aNow, this->context.cluster, this->database, this->keyHash);
     if (!found) {
       return found.error();
     }
-    this->access.organisation = std::move(found->organisation);
-    // A changed route takes effect from the next transaction on.
+    this->access = std::move(*found);
+    return std::nullopt;
+  }
+
+  /** Checks that the client's key still belongs to the organisation for which the connection was
+      opened. Returns the reason if nothing may be sent on the connection any more. */
+  std::optional<ErrorCode> CheckOrganisation(Instant aNow) const
+  {
+    if (this->access.route.isPublic) {
+      return std::nullopt;
+    }
+    const auto organisation = FindOrganisation(aNow, this->context.cluster, this->keyHash);
+    if (!organisation) {
+      return organisation.error();
+    }
+    return *organisation == this->connection->organisation ? std::nullopt
+                                                           : std::optional(ErrorCode::Aborted);
+  }
+
+  /** Gives the connection back without sending the statement. */
+  void RefuseToSend(Instant aNow, ErrorCode aError)
+  {
     if (this->transaction != Transaction::Open) {
-      this->access.route = std::move(found->route);
+      this->ReleaseConnection(aNow, false);
     }
-    return std::nullopt;
+    this->Fail(aNow,
+               aError,
+               aError == ErrorCode::Aborted ? "the key belongs to another organisation now"
+                                            : kNotAllowed);
   }
 
   /** Refuses the statement because the process exits soon. An open transaction is rolled back, so
@@ -282,7 +311,7 @@
       this->context.buckets.CountDemand(aNow, this->access.organisation);
     }
     if (const std::optional<ErrorCode> refusal = this->CheckAccess(aNow)) {
-      this->Fail(aNow, *refusal, "the configuration in force doesn't allow it");
+      this->Fail(aNow, *refusal, kNotAllowed);
       return;
     }
     this->activeStatement->deadline = aNow + this->access.route.statementTimeout;
@@ -457,8 +486,14 @@
     return command;
   }
 
+  /** Sends the statement on the connection, after the commands that it needs there. All statements
+      of clients are sent here. */
   void RunStatement(Instant aNow)
   {
+    if (const std::optional<ErrorCode> refusal = this->CheckOrganisation(aNow)) {
+      this->RefuseToSend(aNow, *refusal);
+      return;
+    }
     std::vector<ServerCommand> commands;
     if (!this->IsCommit()) {
       const bool isExecute = this->activeStatement->statement.kind == StatementKind::Execute;
--- a/packages/proxy/session/SessionAccess.cpp
+++ b/packages/proxy/session/SessionAccess.cpp
@@ -1,5 +1,7 @@
 #include "proxy/session/SessionAccess.h"
 
+#include <utility>
+
 namespace mustardshift::proxy {
 
 tl::expected<SessionAccess, ErrorCode> FindSessionAccess(Instant aNow,
@@ -18,14 +20,26 @@
   if (route->second.isPublic) {
     return SessionAccess{ route->second, OrganisationName() };
   }
+  auto organisation = FindOrganisation(aNow, aCluster, aKeyHash);
+  if (!organisation) {
+    return tl::unexpected(organisation.error());
+  }
+  return SessionAccess{ route->second, std::move(*organisation) };
+}
+
+tl::expected<OrganisationName, ErrorCode> FindOrganisation(Instant aNow,
+                                                           const ClusterState& aCluster,
+                                                           const std::string& aKeyHash)
+{
   if (!aCluster.IsTrusted(aNow)) {
     return tl::unexpected(ErrorCode::Busy);
   }
-  const auto key = configuration.organisationsByKeyHash.find(aKeyHash);
-  if (key == configuration.organisationsByKeyHash.end()) {
+  const auto& organisationsByKeyHash = aCluster.Configuration().organisationsByKeyHash;
+  const auto key = organisationsByKeyHash.find(aKeyHash);
+  if (key == organisationsByKeyHash.end()) {
     return tl::unexpected(ErrorCode::Unauthorised);
   }
-  return SessionAccess{ route->second, key->second };
+  return key->second;
 }
 
 } // namespace mustardshift::proxy
--- a/packages/proxy/session/SessionAccess.h
+++ b/packages/proxy/session/SessionAccess.h
@@ -30,4 +30,10 @@
                                                          const std::string& aDatabase,
                                                          const std::string& aKeyHash);
 
+/** Looks up the organisation that has a key in the configuration in force. The error says why the
+    client is refused. For the parameters see FindSessionAccess(). Thread safety: pure. */
+tl::expected<OrganisationName, ErrorCode> FindOrganisation(Instant aNow,
+                                                           const ClusterState& aCluster,
+                                                           const std::string& aKeyHash);
+
 } // namespace mustardshift::proxy
--- a/packages/proxy/tests/ClientSessionTest.cpp
+++ b/packages/proxy/tests/ClientSessionTest.cpp
@@ -1,3 +1,4 @@
+#include "core/configuration/KeyHash.h"
 #include "proxy/tests/SessionFixture.h"
 #include "support/Section.h"
 
@@ -28,6 +29,9 @@
   CPPUNIT_TEST(ValuesAndPreparedStatementsAreIsolatedBySession);
   CPPUNIT_TEST(OrganisationsDontShareConnections);
   CPPUNIT_TEST(WithdrawnKeysAreRefusedInOpenSessions);
+  CPPUNIT_TEST(KeysThatMoveEndTheTransaction);
+  CPPUNIT_TEST(KeysAreCheckedWhenAStatementIsSent);
+  CPPUNIT_TEST(ChangedRoutesTakeEffectAfterTheTransaction);
   CPPUNIT_TEST(UnconfirmedConfigurationsServePublicRoutesOnly);
   CPPUNIT_TEST(DisconnectedClientsHoldNoConnection);
   CPPUNIT_TEST(StatementsThatCannotRunAreRefusedImmediately);
@@ -320,6 +324,98 @@
     });
   }
 
+  /** Guards against a transaction that goes on for an organisation which no longer has the client's
+      key. */
+  void KeysThatMoveEndTheTransaction()
+  {
+    for (const char* next : { "READ slot-1", "WRITE slot-2 keza", "COMMIT" }) {
+      SessionFixture fixture;
+      const auto session = fixture.Open("bookings");
+      CPPUNIT_ASSERT(!fixture.Run(*session, "BEGIN").error);
+      CPPUNIT_ASSERT(!fixture.Run(*session, "WRITE slot-1 uwase").error);
+      SessionConfiguration moved = fixture.MakeConfiguration(2);
+      moved.organisationsByKeyHash[KeyHash("key-blue")] = OrganisationName("green");
+      fixture.cluster.ApplyConfigurationIfNewer(moved);
+      const std::size_t executedBefore = fixture.network.executedStatements.size();
+      Section("its next statement is not sent, and the transaction is rolled back", [&] {
+        const ClientReply reply = fixture.Run(*session, next);
+        CPPUNIT_ASSERT_MESSAGE(next, reply.error == ErrorCode::Aborted);
+        fixture.Advance(milliseconds(50));
+        CPPUNIT_ASSERT_EQUAL(executedBefore, fixture.network.executedStatements.size());
+        if (reply.state == TransactionState::Failed) {
+          fixture.Run(*session, "ROLLBACK");
+        }
+      });
+      Section("the session goes on for the organisation that has the key now", [&] {
+        CPPUNIT_ASSERT(!fixture.Run(*session, "WRITE slot-3 keza").error);
+        CPPUNIT_ASSERT_EQUAL(std::string("green"),
+                             fixture.RunsOf("WRITE slot-3 keza").at(0).organisation.Text());
+        CPPUNIT_ASSERT(!fixture.RunsOf("WRITE slot-3 keza").at(0).isInTransaction);
+      });
+    }
+  }
+
+  /** Guards against a key that is withdrawn, or moved, while a statement waits for a connection. */
+  void KeysAreCheckedWhenAStatementIsSent()
+  {
+    for (const bool isMoved : { false, true }) {
+      SessionFixture fixture;
+      // Allows one connection per server, so that the second session waits for it.
+      fixture.pool.SetFleetSize(std::nullopt);
+      const auto first = fixture.Open("bookings");
+      const auto second = fixture.Open("bookings");
+      CPPUNIT_ASSERT(!fixture.Run(*first, "BEGIN").error);
+      CPPUNIT_ASSERT(!fixture.Run(*first, "WRITE slot-1 uwase").error);
+      const auto waiting = fixture.Start(*second, "WRITE slot-2 keza");
+      fixture.Advance(milliseconds(50));
+      CPPUNIT_ASSERT(!waiting->has_value());
+      SessionConfiguration changed = fixture.MakeConfiguration(2);
+      changed.organisationsByKeyHash.erase(KeyHash("key-blue"));
+      if (isMoved) {
+        changed.organisationsByKeyHash[KeyHash("key-blue")] = OrganisationName("green");
+      }
+      fixture.cluster.ApplyConfigurationIfNewer(changed);
+      // Releases the connection.
+      fixture.Run(*first, "ROLLBACK");
+      fixture.Advance(milliseconds(50));
+      CPPUNIT_ASSERT(waiting->has_value());
+      CPPUNIT_ASSERT((*waiting)->error == (isMoved ? ErrorCode::Aborted : ErrorCode::Unauthorised));
+      CPPUNIT_ASSERT(fixture.RunsOf("WRITE slot-2 keza").empty());
+      Section("the connection is free for others", [&] {
+        const auto green = fixture.Open("bookings", "key-green");
+        CPPUNIT_ASSERT(!fixture.Run(*green, "WRITE slot-2 keza").error);
+      });
+    }
+  }
+
+  void ChangedRoutesTakeEffectAfterTheTransaction()
+  {
+    SessionFixture fixture;
+    const auto changeAccess = [&](std::uint64_t aVersion, const char* aDatabase, bool aIsPublic) {
+      SessionConfiguration changed = fixture.MakeConfiguration(aVersion);
+      changed.routes[aDatabase].isPublic = aIsPublic;
+      fixture.cluster.ApplyConfigurationIfNewer(changed);
+    };
+    Section("a transaction of an organisation stays its own while the route becomes public", [&] {
+      const auto session = fixture.Open("bookings");
+      CPPUNIT_ASSERT(!fixture.Run(*session, "BEGIN").error);
+      CPPUNIT_ASSERT(!fixture.Run(*session, "WRITE slot-1 uwase").error);
+      changeAccess(2, "bookings", true);
+      CPPUNIT_ASSERT(!fixture.Run(*session, "WRITE slot-2 uwase").error);
+      CPPUNIT_ASSERT(!fixture.Run(*session, "COMMIT").error);
+      CPPUNIT_ASSERT_EQUAL(std::string("blue"), fixture.RunsOf("COMMIT").at(0).organisation.Text());
+    });
+    Section("a public transaction goes on while the route becomes private", [&] {
+      const auto session = fixture.Open("hours", "");
+      CPPUNIT_ASSERT(!fixture.Run(*session, "BEGIN READ").error);
+      CPPUNIT_ASSERT(!fixture.Run(*session, "READ hours-1").error);
+      changeAccess(3, "hours", false);
+      CPPUNIT_ASSERT(!fixture.Run(*session, "READ hours-2").error);
+      CPPUNIT_ASSERT(!fixture.Run(*session, "COMMIT").error);
+      CPPUNIT_ASSERT(fixture.Run(*session, "READ hours-3").error == ErrorCode::Unauthorised);
+    });
+  }
+
   void UnconfirmedConfigurationsServePublicRoutesOnly()
   {
     SessionFixture fixture;
