Cut long values in log lines, and replace all control characters

Operators would see: a client that chooses request ids of up to 1 MiB makes lines of that size, since only the number of lines is limited; form feeds and escape sequences in ids went into the log as they were.

--- a/packages/proxy/log/EventLog.cpp
+++ b/packages/proxy/log/EventLog.cpp
@@ -1,9 +1,39 @@
 #include "proxy/log/EventLog.h"
 
 #include <algorithm>
+#include <cstddef>
+#include <iterator>
+#include <string_view>
 
 namespace mustardshift::proxy {
 
+namespace {
+
+/** Longer values are cut, in bytes. Clients choose some of them, such as request ids. */
+constexpr std::size_t kMaxValueSize = 256;
+
+/** Whether a character could end the value or the line, or control a terminal. */
+bool IsUnsafe(char aCharacter)
+{
+  const auto byte = static_cast<unsigned char>(aCharacter);
+  return byte < 0x20 || byte == 0x7f || aCharacter == '"';
+}
+
+void AppendValue(std::string& aLine, std::string_view aValue)
+{
+  const bool isCut = aValue.size() > kMaxValueSize;
+  const std::string_view shown = aValue.substr(0, kMaxValueSize);
+  const bool needsQuotes = std::any_of(shown.begin(), shown.end(), [](char aCharacter) {
+    return aCharacter == ' ' || IsUnsafe(aCharacter);
+  });
+  const std::string_view quote = needsQuotes ? "\"" : "";
+  aLine.append(quote);
+  std::replace_copy_if(shown.begin(), shown.end(), std::back_inserter(aLine), IsUnsafe, '\'');
+  aLine.append(isCut ? "..." : "").append(quote);
+}
+
+} // namespace
+
 EventLog::EventLog(Sink aSink, double aLinesPerSecond)
   : sink(std::move(aSink))
   , linesPerSecond(aLinesPerSecond)
@@ -22,15 +52,7 @@
   line.append(" ").append(aComponent).append(" ").append(aEvent);
   for (const Field& field : aFields) {
     line.append(" ").append(field.first).append("=");
-    if (field.second.find_first_of(" \"\n\r") == std::string::npos) {
-      line.append(field.second);
-      continue;
-    }
-    line.push_back('"');
-    for (const char character : field.second) {
-      line.push_back(character == '"' || character == '\n' || character == '\r' ? '\'' : character);
-    }
-    line.push_back('"');
+    AppendValue(line, field.second);
   }
   this->sink(std::move(line));
 }
--- a/packages/proxy/tests/EventLogTest.cpp
+++ b/packages/proxy/tests/EventLogTest.cpp
@@ -19,6 +19,7 @@
   CPPUNIT_TEST_SUITE(EventLogTest);
   CPPUNIT_TEST(LinesPerSecondAreLimited);
   CPPUNIT_TEST(LineBreaksAndQuotesInValuesAreReplaced);
+  CPPUNIT_TEST(LongValuesAreCut);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -61,6 +62,21 @@
     log.Write(
       Instant{ seconds(1) }, "statement", "done", { { "id", "a\r\nb \"c" }, { "kind", "read" } });
     CPPUNIT_ASSERT_EQUAL(std::string("1000 statement done id=\"a''b 'c\" kind=read"), line);
+    Section("so are other control characters, some of which end a line for other programs", [&] {
+      log.Write(Instant{ seconds(1) }, "statement", "done", { { "id", "a\v\f\x1b[2J\x7f" } });
+      CPPUNIT_ASSERT_EQUAL(std::string("1000 statement done id=\"a'''[2J'\""), line);
+    });
+  }
+
+  /** Guards against request ids of up to 1 MiB, which would make the size of the log unbounded. */
+  void LongValuesAreCut()
+  {
+    std::string line;
+    EventLog log([&](std::string aLine) { line = std::move(aLine); }, 10);
+    log.Write(Instant{ seconds(1) }, "statement", "done", { { "id", std::string(1'000, 'x') } });
+    CPPUNIT_ASSERT_EQUAL("1000 statement done id=" + std::string(256, 'x') + "...", line);
+    log.Write(Instant{ seconds(1) }, "statement", "done", { { "id", std::string(1'000, ' ') } });
+    CPPUNIT_ASSERT_EQUAL("1000 statement done id=\"" + std::string(256, ' ') + "...\"", line);
   }
 };
 
