--- a/packages/proxy/session/ClientSession.h
+++ b/packages/proxy/session/ClientSession.h
@@ -209,7 +209,7 @@
                                                            : std::optional(ErrorCode::Aborted);
   }
 
-  /** Gives the connection back without sending the statement. */
+  /** Ends the statement, which was not sent, and gives its connection back. */
   void RefuseToSend(Instant aNow, ErrorCode aError)
   {
     if (this->transaction != Transaction::Open) {
