Start with defaults where a deployment leaves settings out

Cause: deploy/vm.yaml asked for bounds.evacuate_ms wherever it was deployed. Bounds may also be fractions, which no span accepted. Spans may have fractions. Tests: SessionSettingsTest fills in deploy/vm.yaml without each single value, without all optional ones, with wrong ones and with fractions; the first failed on the template and reader as they stood.

--- a/packages/adapters/settings/SessionSettings.h
+++ b/packages/adapters/settings/SessionSettings.h
@@ -3,11 +3,21 @@
 #include "core/base/Instant.h"
 #include "core/base/Names.h"
 
+#include <cstddef>
 #include <string>
 #include <vector>
 
 namespace mustardshift {
 
+/** A setting that was not given, and the value that is used instead. */
+struct DefaultedSetting
+{
+  std::string key;
+  std::string value;
+
+  friend bool operator==(const DefaultedSetting&, const DefaultedSetting&) = default;
+};
+
 /** Settings of a daemon that serves sessions and keeps its state in the platform's store. */
 struct SessionSettings
 {
@@ -15,7 +25,7 @@
   FailureDomainName failureDomain;
   /** Clients' sessions, "IP:port". */
   std::string sessionsAddress;
-  /** The load balancer's probe. */
+  /** The load balancer's probe; empty for none. */
   std::string readinessAddress;
   /** Failure domains of the deployment; empty if they are not known. */
   std::vector<FailureDomainName> failureDomains;
@@ -26,7 +36,7 @@
   /** Metrics as text; empty for none. */
   std::string metricsAddress;
   std::string storeAddress;
-  /** Where promotions are ordered. */
+  /** Where promotions are ordered; empty if nobody takes orders. */
   std::string ordersAddress;
   /** A key that was withdrawn has to stop working within this time. */
   Duration withdrawnKeyBound = std::chrono::seconds(5);
@@ -41,6 +51,21 @@
   double rateOvershoot = 0;
   double rateSlack = 0;
 
+  /** Length of the windows for which the organisations' usage is reported; zero for no reports. */
+  Duration usageWindow{ 0 };
+  /** The report of a window is due this long after its end. */
+  Duration usageDeadline = std::chrono::seconds(10);
+  /** How far a reported count may differ from the truth, as a part of it. */
+  double usageTolerance = 0.05;
+
+  /** Memory that the process may use, in MB; the default is that of a small VM. */
+  std::size_t memoryLimitMb = 160;
+  /** File descriptors that the process may open; the default is the usual limit of a process. */
+  std::size_t descriptorLimit = 1024;
+
+  /** Optional settings that were not given. */
+  std::vector<DefaultedSetting> defaulted;
+
   friend bool operator==(const SessionSettings&, const SessionSettings&) = default;
 };
 
--- a/packages/adapters/settings/SessionSettingsReader.cpp
+++ b/packages/adapters/settings/SessionSettingsReader.cpp
@@ -2,6 +2,10 @@
 
 #include "adapters/settings/YamlMap.h"
 
+#include <cctype>
+#include <utility>
+#include <vector>
+
 namespace mustardshift {
 
 namespace {
@@ -18,51 +22,118 @@
 /** Cores. */
 constexpr double kMinProcessorShare = 0.001;
 constexpr double kMaxProcessorShare = 1024;
+/** The name of the failure domain of a deployment that doesn't tell its domains apart. */
+constexpr const char* kOnlyFailureDomain = "default";
+/** Below this the process can't hold the sessions of a small VM. */
+constexpr double kMinMemoryLimitMb = 32;
+constexpr double kMaxMemoryLimitMb = 1 << 20;
+constexpr std::uint64_t kMinDescriptorLimit = 64;
+constexpr std::uint64_t kMaxDescriptorLimit = std::uint64_t(1) << 20;
+
+const std::vector<std::string_view> kRequiredKeys{ "vm", "sessions_address", "store_address" };
+const std::vector<std::string_view> kOptionalKeys{
+  "failure_domain",   "failure_domains", "processor_share", "readiness_address",
+  "peer_address",     "metrics_address", "orders_address",  "withdrawn_key_bound",
+  "evacuation_bound", "shutdown_grace",  "rate_window",     "rate_overshoot",
+  "rate_slack",       "usage_window",    "usage_deadline",  "usage_tolerance",
+  "memory_limit_mb",  "descriptor_limit"
+};
+
+std::vector<std::string_view> AllKeys()
+{
+  std::vector<std::string_view> keys = kRequiredKeys;
+  keys.insert(keys.end(), kOptionalKeys.begin(), kOptionalKeys.end());
+  return keys;
+}
+
+std::string EnvironmentName(std::string_view aKey)
+{
+  std::string name = SessionSettingsReader::kEnvironmentPrefix;
+  for (const char character : aKey) {
+    name += static_cast<char>(std::toupper(static_cast<unsigned char>(character)));
+  }
+  return name;
+}
+
+/** Takes the optional settings that the file does not give from the environment. Returns the keys
+    that neither gives. */
+std::vector<std::string> AddFromEnvironment(YamlMap& aTop,
+                                            const SessionSettingsReader::Environment& aEnvironment)
+{
+  std::vector<std::string> missing;
+  for (const std::string_view key : kOptionalKeys) {
+    const std::string name(key);
+    if (!aTop.RemoveUnfilled(name)) {
+      continue;
+    }
+    const auto variable = aEnvironment.find(EnvironmentName(key));
+    if (variable != aEnvironment.end() && !IsUnfilled(variable->second)) {
+      aTop.Add(name, variable->second);
+    } else {
+      missing.push_back(name);
+    }
+  }
+  return missing;
+}
+
+std::string FormatNumber(double aValue)
+{
+  std::string text = std::to_string(aValue);
+  text.erase(text.find_last_not_of('0') + 1);
+  return text.back() == '.' ? text + "0" : text;
+}
+
+/** The value of an optional setting, for the log. */
+std::string ValueOf(const SessionSettings& aSettings, const std::string& aKey)
+{
+  const std::map<std::string_view, std::string> values{
+    { "failure_domain", aSettings.failureDomain.Text() },
+    { "processor_share", FormatNumber(aSettings.processorShare) },
+    { "withdrawn_key_bound", FormatSpan(aSettings.withdrawnKeyBound) },
+    { "evacuation_bound", FormatSpan(aSettings.evacuationBound) },
+    { "shutdown_grace", FormatSpan(aSettings.shutdownGrace) },
+    { "rate_window", FormatSpan(aSettings.rateWindow) },
+    { "rate_overshoot", FormatNumber(aSettings.rateOvershoot) },
+    { "rate_slack", FormatNumber(aSettings.rateSlack) },
+    { "usage_window", FormatSpan(aSettings.usageWindow) },
+    { "usage_deadline", FormatSpan(aSettings.usageDeadline) },
+    { "usage_tolerance", FormatNumber(aSettings.usageTolerance) },
+    { "memory_limit_mb", std::to_string(aSettings.memoryLimitMb) },
+    { "descriptor_limit", std::to_string(aSettings.descriptorLimit) },
+  };
+  const auto value = values.find(aKey);
+  return value == values.end() ? "none" : value->second;
+}
 
 } // namespace
 
 tl::expected<SessionSettings, InputErrors> SessionSettingsReader::ReadFile(
-  const std::string& aPath) const
+  const std::string& aPath,
+  const Environment& aEnvironment) const
 {
   InputErrorCollector errors(aPath);
   const auto text = ReadTextFile(aPath, errors);
   if (!text.has_value()) {
     return tl::unexpected(errors.Take());
   }
-  return this->ReadText(*text, aPath);
+  return this->ReadText(*text, aPath, aEnvironment);
 }
 
 tl::expected<SessionSettings, InputErrors> SessionSettingsReader::ReadText(
   const std::string& aText,
-  const std::string& aName) const
+  const std::string& aName,
+  const Environment& aEnvironment) const
 {
   InputErrorCollector errors(aName);
   const auto document = ParseYamlDocument(aText, errors);
   if (!document.has_value()) {
     return tl::unexpected(errors.Take());
   }
-  YamlMap top(*document,
-              "",
-              { "vm",
-                "failure_domain",
-                "sessions_address",
-                "readiness_address",
-                "failure_domains",
-                "processor_share",
-                "peer_address",
-                "metrics_address",
-                "store_address",
-                "orders_address",
-                "withdrawn_key_bound",
-                "evacuation_bound",
-                "shutdown_grace",
-                "rate_window",
-                "rate_overshoot",
-                "rate_slack" },
-              errors);
+  YamlMap top(*document, "", AllKeys(), errors);
+  const std::vector<std::string> missingKeys = AddFromEnvironment(top, aEnvironment);
   SessionSettings settings;
   settings.vm = VmId(top.Identifier("vm"));
-  settings.failureDomain = FailureDomainName(top.Identifier("failure_domain"));
+  settings.failureDomain = FailureDomainName(top.Identifier("failure_domain", kOnlyFailureDomain));
   for (const YAML::Node& domain : top.List("failure_domains", false, kMaxFailureDomains)) {
     settings.failureDomains.emplace_back(domain.as<std::string>(std::string()));
   }
@@ -70,11 +141,11 @@
     settings.processorShare = top.Number("processor_share", kMinProcessorShare, kMaxProcessorShare);
   }
   settings.sessionsAddress = top.Address("sessions_address");
-  settings.readinessAddress = top.Address("readiness_address");
+  settings.readinessAddress = top.Address("readiness_address", std::string());
   settings.peerAddress = top.Address("peer_address", std::string());
   settings.metricsAddress = top.Address("metrics_address", std::string());
   settings.storeAddress = top.Address("store_address");
-  settings.ordersAddress = top.Address("orders_address");
+  settings.ordersAddress = top.Address("orders_address", std::string());
   settings.withdrawnKeyBound =
     top.Span("withdrawn_key_bound", kLeastBound, kGreatestBound, settings.withdrawnKeyBound);
   settings.evacuationBound =
@@ -88,10 +159,26 @@
   if (top.Has("rate_slack")) {
     settings.rateSlack = top.Number("rate_slack", 0, kGreatestSlack);
   }
+  settings.usageWindow = top.Span("usage_window", seconds(0), kGreatestBound, settings.usageWindow);
+  settings.usageDeadline =
+    top.Span("usage_deadline", seconds(1), kGreatestBound, settings.usageDeadline);
+  if (top.Has("usage_tolerance")) {
+    settings.usageTolerance = top.Number("usage_tolerance", 0, 1);
+  }
+  if (top.Has("memory_limit_mb")) {
+    // A platform can state fractions of megabytes.
+    settings.memoryLimitMb =
+      static_cast<std::size_t>(top.Number("memory_limit_mb", kMinMemoryLimitMb, kMaxMemoryLimitMb));
+  }
+  settings.descriptorLimit = top.Integer(
+    "descriptor_limit", kMinDescriptorLimit, kMaxDescriptorLimit, settings.descriptorLimit);
   InputErrors found = errors.Take();
   if (!found.empty()) {
     return tl::unexpected(std::move(found));
   }
+  for (const std::string& key : missingKeys) {
+    settings.defaulted.push_back({ key, ValueOf(settings, key) });
+  }
   return settings;
 }
 
--- a/packages/adapters/settings/YamlMap.cpp
+++ b/packages/adapters/settings/YamlMap.cpp
@@ -140,6 +140,13 @@
          inet_pton(AF_INET, host.c_str(), parsed.data()) == 1;
 }
 
+bool IsUnfilled(const std::string& aText)
+{
+  const bool isUnit = std::any_of(
+    kSpanUnits.begin(), kSpanUnits.end(), [&](const auto& aUnit) { return aText == aUnit.first; });
+  return aText.empty() || aText.front() == ':' || aText.back() == ':' || isUnit;
+}
+
 bool IsIdentifier(const std::string& aText)
 {
   return !aText.empty() && aText.size() <= kMaximumIdentifierSize &&
@@ -153,22 +160,30 @@
 
 std::optional<Duration> ParseSpan(const std::string& aText)
 {
-  const std::size_t unitStart = aText.find_first_not_of("0123456789");
+  const std::size_t unitStart = aText.find_first_not_of("0123456789.");
   if (unitStart == std::string::npos || unitStart == 0) {
     return std::nullopt;
   }
-  const auto count = ParseWhole<std::int64_t>(std::string_view(aText).substr(0, unitStart));
+  const std::string_view figure = std::string_view(aText).substr(0, unitStart);
   const std::string_view unit = std::string_view(aText).substr(unitStart);
-  for (const auto& [name, microseconds] : kSpanUnits) {
-    if (unit != name) {
-      continue;
-    }
-    if (!count.has_value() || *count > INT64_MAX / microseconds) {
-      return std::nullopt;
-    }
-    return Duration(*count * microseconds);
+  const auto found = std::find_if(
+    kSpanUnits.begin(), kSpanUnits.end(), [&](const auto& aUnit) { return unit == aUnit.first; });
+  if (found == kSpanUnits.end()) {
+    return std::nullopt;
+  }
+  const std::int64_t microseconds = found->second;
+  if (const auto count = ParseWhole<std::int64_t>(figure)) {
+    return *count > INT64_MAX / microseconds ? std::nullopt
+                                             : std::optional(Duration(*count * microseconds));
+  }
+  // Doubles represent all whole numbers of microseconds below this.
+  constexpr double kMaxFraction = 9e15;
+  const auto fraction = ParseWhole<double>(figure);
+  if (!fraction || figure.front() == '.' || figure.back() == '.' ||
+      *fraction * static_cast<double>(microseconds) > kMaxFraction) {
+    return std::nullopt;
   }
-  return std::nullopt;
+  return Duration(std::llround(*fraction * static_cast<double>(microseconds)));
 }
 
 std::string FormatSpan(Duration aSpan)
@@ -284,6 +299,24 @@
   return this->entries.contains(aKey);
 }
 
+bool YamlMap::RemoveUnfilled(const std::string& aKey)
+{
+  const auto entry = this->entries.find(aKey);
+  if (entry != this->entries.end()) {
+    const YAML::Node& value = entry->second.value;
+    if (value.IsNull() || (value.IsScalar() && IsUnfilled(value.Scalar())) ||
+        (value.IsSequence() && value.size() == 0)) {
+      this->entries.erase(entry);
+    }
+  }
+  return !this->Has(aKey);
+}
+
+void YamlMap::Add(const std::string& aKey, const std::string& aText)
+{
+  this->entries.try_emplace(aKey, Entry{ 0, YAML::Node(aText) });
+}
+
 int YamlMap::LineOf(const std::string& aKey) const
 {
   const auto entry = this->entries.find(aKey);
@@ -345,12 +378,13 @@
   return *text;
 }
 
-std::string YamlMap::Identifier(const std::string& aKey)
+std::string YamlMap::Identifier(const std::string& aKey,
+                                const std::optional<std::string>& aFallback)
 {
   const std::string expected = "a name of 1 to 64 letters, digits, '.', '_' or '-'";
-  const auto text = this->Scalar(aKey, true, true, expected);
+  const auto text = this->Scalar(aKey, !aFallback.has_value(), true, expected);
   if (!text.has_value()) {
-    return "";
+    return aFallback.value_or("");
   }
   if (!IsIdentifier(*text)) {
     this->Report(aKey, Quote(*text) + " is no name, expected " + expected);
--- a/packages/adapters/settings/YamlMap.h
+++ b/packages/adapters/settings/YamlMap.h
@@ -37,6 +37,14 @@
   /** Full path of a key. */
   std::string PathOf(const std::string& aKey) const;
 
+  /** Removes a key whose value a template has left without its figure: an empty value, a unit alone
+      such as "ms", or an address without its host or its port. Returns whether the key is missing
+      afterwards. */
+  bool RemoveUnfilled(const std::string& aKey);
+
+  /** Adds a value that was given outside the file, as text. Precondition: the key is missing. */
+  void Add(const std::string& aKey, const std::string& aText);
+
   /** Reports a fault of a key. */
   void Report(const std::string& aKey, const std::string& aMessage);
 
@@ -45,8 +53,10 @@
   std::string Text(const std::string& aKey,
                    const std::optional<std::string>& aFallback = std::nullopt);
 
-  /** Reads a name: 1 to 64 letters, digits, '.', '_' or '-'. Required. */
-  std::string Identifier(const std::string& aKey);
+  /** Reads a name: 1 to 64 letters, digits, '.', '_' or '-'. Without a fallback the key is
+      required. */
+  std::string Identifier(const std::string& aKey,
+                         const std::optional<std::string>& aFallback = std::nullopt);
 
   /** Reads an address of the form IP:port or [IPv6]:port. Without a fallback the key is
       required. */
@@ -108,10 +118,15 @@
 /** Tells whether a text is IP:port or [IPv6]:port, with a port from 1 to 65535. */
 bool IsAddress(const std::string& aText);
 
+/** Tells whether a text is a value that a template has left without its figure: empty, a unit of
+    time or an address without its host or its port. Thread safety: pure. */
+bool IsUnfilled(const std::string& aText);
+
 /** Tells whether a text is a name: 1 to 64 letters, digits, '.', '_' or '-'. */
 bool IsIdentifier(const std::string& aText);
 
-/** Parses a span of time such as 250ms, 2s or 500us; nothing when it is none. */
+/** Parses a span of time such as 250ms, 2s, 2.5s or 500us, rounded to microseconds; nothing when it
+    is none. */
 std::optional<Duration> ParseSpan(const std::string& aText);
 
 /** Writes a span of time with the largest unit that divides it. */
--- a/packages/adapters/tests/SessionSettingsTest.cpp
+++ b/packages/adapters/tests/SessionSettingsTest.cpp
@@ -5,6 +5,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <fstream>
 #include <map>
+#include <set>
 #include <sstream>
 #include <string>
 
@@ -30,6 +31,27 @@
 rate_slack: 20
 )";
 
+/** Values for the placeholders of deploy/vm.yaml. */
+const std::map<std::string, std::string> kTemplateValues{
+  { "node_name", "front-kigali-a-1" },
+  { "zone", "kigali-a" },
+  { "ip", "10.1.0.26" },
+  { "port_range.0", "7560" },
+  { "port_range.1", "7561" },
+  { "limits.cpu_share", "0.25" },
+  { "#zones}}{{@}}{{,}}{{/zones", "kigali-a,kigali-b" },
+  { "listen.front", "10.1.0.26:8465" },
+  { "listen.readiness", "10.1.0.26:8460" },
+  { "platform.address", "10.200.1.7:8466" },
+  { "cloud.address", "10.200.0.2:8466" },
+  { "bounds.revoke_ms", "5000" },
+  { "bounds.evacuate_ms", "5000" },
+  { "bounds.grace_s", "6" },
+  { "bounds.quota_window_s", "5" },
+  { "bounds.quota_overshoot", "0.1" },
+  { "bounds.quota_slack", "20" },
+};
+
 std::string Replaced(std::string aText, const std::string& aFrom, const std::string& aTo)
 {
   const std::size_t place = aText.find(aFrom);
@@ -47,6 +69,9 @@
   CPPUNIT_TEST(ReadsAllSettings);
   CPPUNIT_TEST(ReportsFaultsTogether);
   CPPUNIT_TEST(AcceptsTheDeployTemplate);
+  CPPUNIT_TEST(StartsWithoutOptionalValues);
+  CPPUNIT_TEST(TakesSettingsFromTheEnvironment);
+  CPPUNIT_TEST(ReadsFractions);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -86,44 +111,138 @@
   }
 
   void AcceptsTheDeployTemplate()
+  {
+    const auto settings = ReadFilled(kTemplateValues);
+    CPPUNIT_ASSERT_MESSAGE(settings ? "" : settings.error().front().ToString(),
+                           settings.has_value());
+    CPPUNIT_ASSERT_EQUAL(std::string("10.1.0.26:7561"), settings->metricsAddress);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), settings->failureDomains.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("kigali-b"), settings->failureDomains[1].Text());
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(0.25, settings->processorShare, 1e-9);
+  }
+
+  /** Guards against VMs that end at their start because a deployment gives no value for a setting:
+      the deployments without evacuations left "evacuation_bound: ms" behind, and no VM started. */
+  void StartsWithoutOptionalValues()
+  {
+    const std::set<std::string> requiredValues{ "node_name", "listen.front", "platform.address" };
+    std::map<std::string, std::string> requiredOnly = kTemplateValues;
+    Section("each value alone", [&] {
+      for (const auto& [name, value] : kTemplateValues) {
+        std::map<std::string, std::string> values = kTemplateValues;
+        values[name] = "";
+        const auto settings = ReadFilled(values);
+        if (requiredValues.contains(name)) {
+          CPPUNIT_ASSERT_MESSAGE(name, !settings);
+          continue;
+        }
+        CPPUNIT_ASSERT_MESSAGE(name + (settings ? "" : ": " + settings.error().front().ToString()),
+                               settings.has_value());
+        CPPUNIT_ASSERT_MESSAGE(name, !settings->defaulted.empty());
+        requiredOnly[name] = "";
+      }
+    });
+    Section("all optional values at once: each is named with its default", [&] {
+      const auto settings = ReadFilled(requiredOnly);
+      CPPUNIT_ASSERT_MESSAGE(settings ? "" : settings.error().front().ToString(),
+                             settings.has_value());
+      SessionSettings expected;
+      expected.vm = VmId("front-kigali-a-1");
+      expected.failureDomain = FailureDomainName("default");
+      expected.sessionsAddress = "10.1.0.26:8465";
+      expected.storeAddress = "10.200.1.7:8466";
+      expected.defaulted = settings->defaulted;
+      CPPUNIT_ASSERT(expected == *settings);
+      CPPUNIT_ASSERT_EQUAL(std::size_t(18), settings->defaulted.size());
+      const auto named = [&](const std::string& aKey) {
+        for (const DefaultedSetting& setting : settings->defaulted) {
+          if (setting.key == aKey) {
+            return setting.value;
+          }
+        }
+        return std::string("not named");
+      };
+      CPPUNIT_ASSERT_EQUAL(std::string("5s"), named("evacuation_bound"));
+      CPPUNIT_ASSERT_EQUAL(std::string("1.0"), named("processor_share"));
+      CPPUNIT_ASSERT_EQUAL(std::string("none"), named("orders_address"));
+      CPPUNIT_ASSERT_EQUAL(std::string("160"), named("memory_limit_mb"));
+    });
+    Section("a value that is there and wrong is an error with its line", [&] {
+      for (const auto& [name, wrong] : std::map<std::string, std::string>{
+             { "bounds.evacuate_ms", "soon" },
+             { "bounds.quota_slack", "many" },
+             { "limits.cpu_share", "-1" },
+             { "cloud.address", "10.200.0.2" },
+             { "port_range.0", "99999" },
+           }) {
+        std::map<std::string, std::string> values = kTemplateValues;
+        values[name] = wrong;
+        const auto settings = ReadFilled(values);
+        CPPUNIT_ASSERT_MESSAGE(name, !settings);
+        CPPUNIT_ASSERT_MESSAGE(name, settings.error().front().line > 0);
+      }
+    });
+  }
+
+  /** Guards against settings that only some deployments have getting lost: the template can't hold
+      them, because every value that it asks for has to be known wherever it is filled in. */
+  void TakesSettingsFromTheEnvironment()
+  {
+    SessionSettingsReader::Environment environment{
+      { "MUSTARDSHIFT_USAGE_WINDOW", "5s" },       { "MUSTARDSHIFT_USAGE_DEADLINE", "s" },
+      { "MUSTARDSHIFT_MEMORY_LIMIT_MB", "512" },   { "MUSTARDSHIFT_DESCRIPTOR_LIMIT", "8192" },
+      { "MUSTARDSHIFT_RATE_WINDOW", "7s" },        { "MUSTARDSHIFT_CONFIG", "/etc/settings.toml" },
+      { "MUSTARDSHIFT_UNKNOWN", "is left alone" },
+    };
+    const auto settings = SessionSettingsReader{}.ReadText(kGood, "test", environment);
+    CPPUNIT_ASSERT(settings.has_value());
+    CPPUNIT_ASSERT(settings->usageWindow == seconds(5));
+    CPPUNIT_ASSERT(settings->usageDeadline == SessionSettings{}.usageDeadline);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(512), settings->memoryLimitMb);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(8192), settings->descriptorLimit);
+    Section("the file goes first", [&] { CPPUNIT_ASSERT(settings->rateWindow == seconds(5)); });
+    Section("a wrong value is an error", [&] {
+      environment["MUSTARDSHIFT_USAGE_WINDOW"] = "often";
+      const auto wrong = SessionSettingsReader{}.ReadText(kGood, "test", environment);
+      CPPUNIT_ASSERT(!wrong);
+      CPPUNIT_ASSERT_EQUAL(std::string("usage_window"), wrong.error().front().key);
+    });
+  }
+
+  /** Guards against VMs that refuse a bound which a deployment states as a fraction. */
+  void ReadsFractions()
+  {
+    std::map<std::string, std::string> values = kTemplateValues;
+    values["bounds.revoke_ms"] = "5000.0";
+    values["bounds.grace_s"] = "6.5";
+    const auto settings = ReadFilled(values);
+    CPPUNIT_ASSERT(settings.has_value());
+    CPPUNIT_ASSERT(settings->withdrawnKeyBound == seconds(5));
+    CPPUNIT_ASSERT(settings->shutdownGrace == std::chrono::milliseconds(6500));
+    for (const char* wrong : { "1.2.3", ".5", "5.", "1e3", "9999999999999999.5" }) {
+      values["bounds.grace_s"] = wrong;
+      CPPUNIT_ASSERT_MESSAGE(wrong, !ReadFilled(values));
+    }
+  }
+
+private:
+  /** Reads deploy/vm.yaml with these values in the places of its placeholders. */
+  static tl::expected<SessionSettings, InputErrors> ReadFilled(
+    const std::map<std::string, std::string>& aValues)
   {
     std::ifstream file(std::string(MUSTARDSHIFT_SOURCE_DIR) + "/deploy/vm.yaml");
     std::stringstream text;
     text << file.rdbuf();
     std::string filled = text.str();
-    const std::map<std::string, std::string> values{
-      { "node_name", "front-kigali-a-1" },
-      { "zone", "kigali-a" },
-      { "ip", "10.1.0.26" },
-      { "port_range.0", "7560" },
-      { "port_range.1", "7561" },
-      { "limits.cpu_share", "0.25" },
-      { "#zones}}{{@}}{{,}}{{/zones", "kigali-a,kigali-b" },
-      { "listen.front", "10.1.0.26:8465" },
-      { "listen.readiness", "10.1.0.26:8460" },
-      { "platform.address", "10.200.1.7:8466" },
-      { "cloud.address", "10.200.0.2:8466" },
-      { "bounds.revoke_ms", "5000" },
-      { "bounds.evacuate_ms", "5000" },
-      { "bounds.grace_s", "6" },
-      { "bounds.quota_window_s", "5" },
-      { "bounds.quota_overshoot", "0.1" },
-      { "bounds.quota_slack", "20" },
-    };
-    for (const auto& [name, value] : values) {
+    for (const auto& [name, value] : aValues) {
       const std::string placeholder = "{{" + name + "}}";
       for (std::size_t place = filled.find(placeholder); place != std::string::npos;
            place = filled.find(placeholder)) {
         filled.replace(place, placeholder.size(), value);
       }
     }
-    const auto settings = SessionSettingsReader{}.ReadText(filled, "deploy/vm.yaml");
-    CPPUNIT_ASSERT_MESSAGE(settings ? "" : settings.error().front().ToString(),
-                           settings.has_value());
-    CPPUNIT_ASSERT_EQUAL(std::string("10.1.0.26:7561"), settings->metricsAddress);
-    CPPUNIT_ASSERT_EQUAL(std::size_t(2), settings->failureDomains.size());
-    CPPUNIT_ASSERT_EQUAL(std::string("kigali-b"), settings->failureDomains[1].Text());
-    CPPUNIT_ASSERT_DOUBLES_EQUAL(0.25, settings->processorShare, 1e-9);
+    CPPUNIT_ASSERT(filled.find("{{") == std::string::npos);
+    return SessionSettingsReader{}.ReadText(filled, "deploy/vm.yaml");
   }
 };
 
--- a/packages/daemon/main.cpp
+++ b/packages/daemon/main.cpp
@@ -10,6 +10,8 @@
 #include <csignal>
 #include <iostream>
 #include <string>
+#include <string_view>
+#include <unistd.h>
 
 ABSL_FLAG(std::string, settings, "", "path of the settings file, YAML");
 ABSL_FLAG(std::string,
@@ -37,18 +39,33 @@
   return 0;
 }
 
+/** The environment variables of the process. */
+mustardshift::SessionSettingsReader::Environment ReadEnvironment()
+{
+  mustardshift::SessionSettingsReader::Environment variables;
+  for (char** entry = environ; entry != nullptr && *entry != nullptr; ++entry) {
+    const std::string_view text(*entry);
+    const std::size_t equals = text.find('=');
+    if (equals != std::string_view::npos) {
+      variables.emplace(text.substr(0, equals), text.substr(equals + 1));
+    }
+  }
+  return variables;
+}
+
 /** Serves sessions on the platform until a signal ends the process. */
 int RunOnPlatform(const std::string& aPath)
 {
-  const auto settings = mustardshift::SessionSettingsReader{}.ReadFile(aPath);
+  const auto environment = ReadEnvironment();
+  const auto settings = mustardshift::SessionSettingsReader{}.ReadFile(aPath, environment);
   if (!settings) {
     return ReportInvalidSettings(settings.error());
   }
   if (absl::GetFlag(FLAGS_check)) {
     return ReportValidSettings(aPath);
   }
-  const auto reload = [aPath, present = *settings]() -> std::string {
-    const auto read = mustardshift::SessionSettingsReader{}.ReadFile(aPath);
+  const auto reload = [aPath, environment, present = *settings]() -> std::string {
+    const auto read = mustardshift::SessionSettingsReader{}.ReadFile(aPath, environment);
     if (!read) {
       return read.error().empty() ? "unreadable" : read.error().front().ToString();
     }
