Let few members of a large fleet watch the store's tables

Change: in fleets of more than 16 VMs the first member of each failure domain watches the tables; the other members ask it as attached VMs do. Members pass each confirmation on at once by a notice, dated from the receiver's own request, so a late one can't look newer. Two members a failure domain instead of three, renewals every 2 s, changes of the list of servers that come in quick succession are read together, and reading a copy restarts the patience with a member whose table keeps changing. A VM that was a member a moment ago becomes one again, and a VM that did not follow an invitation is not invited twice in a row: several members that stopped at once left their domain without any. Tests: MembershipHistoryTest; seen failing: notices dated at their receipt, no notices, all members watching, the bound on calls; two seen before their mend: one VM of a fleet not ready after 55 % were killed, a member never replaced.

--- a/packages/proxy/SessionProxy.h
+++ b/packages/proxy/SessionProxy.h
@@ -59,6 +59,11 @@
       expired while the store was unavailable are written again within about two seconds. */
   static constexpr Duration kRemovalDelay = std::chrono::milliseconds(2500);
 
+  /** In a large fleet, changes of the list of servers that come in quick succession are read
+      together after this time. Many servers that start would cost a call for each change and each
+      watcher. */
+  static constexpr Duration kServerBurstPause = std::chrono::milliseconds(400);
+
   /** Precondition: all references outlive the proxy.
       @param aOnStatementEnd  called once for each statement that has ended, to record it in
                               the metrics. */
@@ -175,6 +180,8 @@
       [this](Instant aNow) { return this->attachment.AreOperatorsCurrent(aNow); });
     this->serverFollower.SetSkipStore(
       [this](Instant aNow) { return this->attachment.AreServersCurrent(aNow); });
+    this->serverFollower.SetBurstPause(
+      [this] { return this->fleet.IsLarge() ? kServerBurstPause : Duration(0); });
   }
   SessionProxy(const SessionProxy&) = delete;
   SessionProxy& operator=(const SessionProxy&) = delete;
@@ -259,7 +266,9 @@
                           const AttachmentAnswer& aAnswer,
                           const std::string& aMemberAddress)
   {
-    this->fleet.ApplyRoster(aNow, aAnswer.roster);
+    if (this->coordinator.Role() == FleetRole::Attached) {
+      this->fleet.ApplyRoster(aNow, aAnswer.roster);
+    }
     if (aAnswer.operatorDigest != this->operatorCopy.Digest()) {
       this->operatorFollower.ReadFromPeer(aNow, aMemberAddress);
     }
@@ -274,14 +283,19 @@
     return { [this](Instant aNow, const auto& aRows) {
               this->evacuatedDomains.clear();
               this->ApplyOperatorRows(aNow, aRows);
+              this->attachment.NoteOperatorsRead(aNow);
+              this->attachment.NotifyFollowers();
             },
              [this](Instant aNow, const auto& aRows) {
                if (!aRows.empty()) {
                  this->ApplyOperatorRows(aNow, aRows);
-                 this->attachment.NotifyAttachedVms();
+                 this->attachment.NotifyFollowers();
                }
              },
-             [this](Instant aAsOf) { this->cluster.Confirm(aAsOf); } };
+             [this](Instant aAsOf) {
+               this->cluster.Confirm(aAsOf);
+               this->attachment.SendConfirmations();
+             } };
   }
 
   void ApplyOperatorRows(Instant aNow, const std::vector<StoredRow>& aRows)
@@ -326,11 +340,15 @@
 
   typename Follower::Handlers ServerHandlers()
   {
-    return { [this](Instant aNow, const auto& aRows) { this->ApplyServerList(aNow, aRows); },
+    return { [this](Instant aNow, const auto& aRows) {
+              this->ApplyServerList(aNow, aRows);
+              this->attachment.NoteServersRead(aNow);
+              this->attachment.NotifyFollowers();
+            },
              [this](Instant aNow, const auto& aRows) {
                if (!aRows.empty()) {
                  this->ApplyServerChanges(aNow, aRows);
-                 this->attachment.NotifyAttachedVms();
+                 this->attachment.NotifyFollowers();
                }
              },
              [](Instant) {} };
@@ -411,6 +429,7 @@
 
   void OnFleetRead(Instant aNow)
   {
+    this->attachment.UpdateWatcher(aNow);
     this->UpdateFleetSize(aNow);
     this->driver.Step(aNow, this->coordinator.PromotionLeaseEnd());
   }
--- a/packages/proxy/coordination/AttachmentExchange.h
+++ b/packages/proxy/coordination/AttachmentExchange.h
@@ -11,7 +11,9 @@
 #include "proxy/rate/PeerMessenger.h"
 
 #include <algorithm>
+#include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -24,13 +26,16 @@
 
 namespace mustardshift::proxy {
 
-/** Connects attached VMs to members. An attached VM asks one member at a time; the answer confirms
-    its configuration, shows whether its copies of tables are those of the member, and names all
-    members. A member counts the VMs that ask it.
+/** Connects VMs that don't watch the store's tables to members. An attached VM asks one member at a
+    time; the answer confirms its configuration, shows whether its copies of tables are those of the
+    member, and names all members. In a large fleet the members that don't watch the tables ask one
+    that does. A member counts the attached VMs that ask it, and tells all VMs that ask it when its
+    copy has been confirmed again.
 
     An answer confirms the configuration only if both VMs hold the same rows. The confirmation is
-    dated to the time just before the request was sent, minus the age stated in the answer. A
-   delayed message can therefore make a confirmation look older than it is, but never newer.
+    dated to the time just before the request was sent, minus the age stated in the answer, or plus
+    the time that a later notice states. A delayed message can therefore make a confirmation look
+    older than it is, but never newer.
 
     Thread safety: none; one thread owns the object. */
 template<PeerMessenger Messenger>
@@ -61,6 +66,8 @@
   /** Interval between invitations to become a member. Longer than it takes until the new member's
       row is read. */
   static constexpr Duration kInvitationInterval = std::chrono::seconds(4);
+  /** Number of requests that both sides remember, to date confirmations. */
+  static constexpr std::size_t kMaxRememberedRequests = 4;
   /** After this time, a VM tries the member again that it prefers. */
   static constexpr Duration kPreferenceInterval = std::chrono::seconds(5);
 
@@ -108,26 +115,28 @@
   /** Sets the role of this VM. */
   void SetRole(Instant aNow, FleetRole aRole)
   {
-    this->isAttached = aRole == FleetRole::Attached;
-    this->attachedVms.clear();
-    this->pendingNumber = 0;
-    this->failures = 0;
-    // The validity of answers, and the patience with copies, begin now.
-    this->answeredAt = aNow;
-    this->operatorsDifferSince = aNow;
-    this->serversDifferSince = aNow;
-    if (this->isAttached) {
-      this->SendRequest(aNow);
+    this->role = aRole;
+    this->followers.clear();
+    this->Follow(aNow, aRole == FleetRole::Attached);
+  }
+
+  /** Updates whether this VM, a member, watches the store's tables; call it after each read of the
+      fleet's table. Does nothing in other roles. */
+  void UpdateWatcher(Instant aNow)
+  {
+    const bool isFollower = !this->fleet.IsWatcher(this->self) && !this->replyAddress.empty();
+    if (this->role == FleetRole::Member && isFollower != this->isFollowing) {
+      this->Follow(aNow, isFollower);
     }
   }
 
   /** Sends the request that is due. Call it several times per kRequestPeriod. */
   void Step(Instant aNow)
   {
-    std::erase_if(this->attachedVms, [&](const auto& aEntry) {
-      return aNow - aEntry.second.askedAt >= kAttachedExpiry;
+    std::erase_if(this->followers, [&](const auto& aEntry) {
+      return aNow - aEntry.second.requests.back().second >= kAttachedExpiry;
     });
-    if (!this->isAttached) {
+    if (!this->isFollowing) {
       return;
     }
     if (this->pendingNumber != 0) {
@@ -141,24 +150,51 @@
     }
   }
 
-  /** Makes the VMs that are attached to this member ask at once. Call it when a copy has
-      changed. */
-  void NotifyAttachedVms()
+  /** Makes the VMs that ask this member do so at once. Call it when a copy has changed. */
+  void NotifyFollowers()
+  {
+    for (const auto& [vm, follower] : this->followers) {
+      this->Send(follower.address, AttachmentNotice{ this->self });
+    }
+  }
+
+  /** Tells the VMs that ask this member that its copy of the operators' table has been confirmed.
+      Call it after each confirmation. */
+  void SendConfirmations()
   {
-    for (const auto& [vm, attached] : this->attachedVms) {
-      this->Send(attached.address, AttachmentNotice{ this->self });
+    for (const auto& [vm, follower] : this->followers) {
+      const Instant confirmedAt = this->cluster.ConfirmedAt();
+      const auto request =
+        std::find_if(follower.requests.rbegin(), follower.requests.rend(), [&](const auto& aEntry) {
+          return aEntry.second <= confirmedAt;
+        });
+      if (request != follower.requests.rend()) {
+        this->Send(follower.address,
+                   ConfirmationNotice{ follower.incarnation,
+                                       request->first,
+                                       this->operators.Digest(),
+                                       confirmedAt - request->second });
+      }
     }
   }
 
   /** Number of VMs that are attached to this member. */
   std::uint32_t AttachedCount() const
   {
-    return static_cast<std::uint32_t>(this->attachedVms.size());
+    return static_cast<std::uint32_t>(
+      std::count_if(this->followers.begin(), this->followers.end(), [](const auto& aEntry) {
+        return !aEntry.second.isMember;
+      }));
   }
 
-  /** Whether a member has answered recently. Precondition: this VM is attached. */
+  /** Whether a member has answered recently. Precondition: this VM asks members. */
   bool HasMember(Instant aNow) const { return aNow - this->answeredAt < kAnswerValidity; }
 
+  /** Records that a copy of a member's table was read. While the member's table keeps changing, the
+      copies differ in each answer although they are read each time. */
+  void NoteOperatorsRead(Instant aNow) { RestartPatience(aNow, this->operatorsDifferSince); }
+  void NoteServersRead(Instant aNow) { RestartPatience(aNow, this->serversDifferSince); }
+
   /** Whether this VM needs no watch of the operators' table: a member currently confirms its
       copy, or is expected to. */
   bool AreOperatorsCurrent(Instant aNow) const
@@ -185,33 +221,56 @@
       this->OnRequest(aNow, *request);
     } else if (const auto* answer = std::get_if<AttachmentAnswer>(&*message)) {
       this->OnAnswer(aNow, *answer);
-    } else if (this->isAttached) {
+    } else if (const auto* confirmation = std::get_if<ConfirmationNotice>(&*message)) {
+      this->OnConfirmation(aNow, *confirmation);
+    } else if (this->isFollowing) {
       this->SendRequest(aNow);
     }
     return true;
   }
 
 private:
-  struct AttachedVm
+  /** A VM that asks this member. */
+  struct Follower
   {
     std::string address;
-    /** Time of its latest request. */
-    Instant askedAt{};
+    std::uint64_t incarnation = 0;
+    bool isMember = false;
+    /** Numbers and arrivals of its latest requests. A confirmation is dated to the time at which
+        the store was asked, which can be before the latest request. */
+    std::deque<std::pair<std::uint64_t, Instant>> requests;
   };
 
+  /** Starts or ends asking members. */
+  void Follow(Instant aNow, bool aIsFollowing)
+  {
+    this->isFollowing = aIsFollowing;
+    this->pendingNumber = 0;
+    this->sentRequests.clear();
+    this->failures = 0;
+    // The validity of answers, and the patience with copies, begin now.
+    this->answeredAt = aNow;
+    this->operatorsDifferSince = aNow;
+    this->serversDifferSince = aNow;
+    if (this->isFollowing) {
+      this->SendRequest(aNow);
+    }
+  }
+
   bool IsCopyCurrent(Instant aNow, const std::optional<Instant>& aDiffersSince) const
   {
-    return this->isAttached && this->HasMember(aNow) &&
+    return this->isFollowing && this->HasMember(aNow) &&
            (!aDiffersSince || aNow - *aDiffersSince < kCopyPatience);
   }
 
   /** Members in the order in which this VM asks them: those of its failure domain first, and
-      otherwise spread evenly over the VMs. */
+      otherwise spread evenly over the VMs. A member asks those that watch the store's tables. */
   std::vector<VmId> Candidates() const
   {
     std::vector<std::tuple<bool, std::uint64_t, VmId>> ranked;
     for (const VmId& vm : this->fleet.LiveVms()) {
-      if (vm != this->self && !this->fleet.PeerAddressOf(vm).empty()) {
+      const bool isSource = this->role == FleetRole::Attached || this->fleet.IsWatcher(vm);
+      if (vm != this->self && isSource && !this->fleet.PeerAddressOf(vm).empty()) {
         ranked.emplace_back(this->fleet.DomainOf(vm) != this->domain,
                             StableHash(this->self.Text() + "/" + vm.Text()),
                             vm);
@@ -245,10 +304,17 @@
     this->askedMember = candidates[this->failures % candidates.size()];
     this->pendingNumber = ++this->lastNumber;
     this->sentAt = aNow;
-    this->Send(
-      this->fleet.PeerAddressOf(this->askedMember),
-      AttachmentRequest{
-        this->self, this->replyAddress, this->domain, this->incarnation, this->pendingNumber });
+    this->sentRequests.emplace_back(this->pendingNumber, aNow);
+    if (this->sentRequests.size() > kMaxRememberedRequests) {
+      this->sentRequests.pop_front();
+    }
+    this->Send(this->fleet.PeerAddressOf(this->askedMember),
+               AttachmentRequest{ this->self,
+                                  this->replyAddress,
+                                  this->domain,
+                                  this->incarnation,
+                                  this->pendingNumber,
+                                  this->role == FleetRole::Member });
   }
 
   void Send(const std::string& aAddress, const AttachmentMessage& aMessage)
@@ -260,36 +326,57 @@
   {
     // A VM that is not a member has nothing to offer, and one that has not read the tables nothing
     // yet. An empty table counts: the first configuration can come long after the start.
-    if (this->isAttached || this->operators.Version() == 0 || !this->fleet.IsLive(this->self)) {
+    if (this->role == FleetRole::Attached || this->operators.Version() == 0 ||
+        !this->fleet.IsLive(this->self)) {
+      return;
+    }
+    // Members that don't watch the tables themselves could otherwise ask each other.
+    if (aRequest.isMember && this->isFollowing) {
       return;
     }
-    this->attachedVms[aRequest.sender] = { aRequest.replyAddress, aNow };
+    Follower& follower = this->followers[aRequest.sender];
+    if (follower.incarnation != aRequest.incarnation) {
+      follower.requests.clear();
+    }
+    follower.address = aRequest.replyAddress;
+    follower.incarnation = aRequest.incarnation;
+    follower.isMember = aRequest.isMember;
+    follower.requests.emplace_back(aRequest.number, aNow);
+    if (follower.requests.size() > kMaxRememberedRequests) {
+      follower.requests.pop_front();
+    }
     this->Send(aRequest.replyAddress,
                AttachmentAnswer{ aRequest.incarnation,
                                  aRequest.number,
                                  this->operators.Digest(),
                                  aNow - this->cluster.ConfirmedAt(),
                                  this->servers.Digest(),
-                                 this->Invites(aNow, aRequest.domain),
+                                 this->Invites(aNow, aRequest),
                                  this->fleet.Roster() });
   }
 
-  /** Whether to invite a VM of a failure domain to become a member. Only the first member of the
-      domain does, so that two don't invite one each. */
-  bool Invites(Instant aNow, const FailureDomainName& aDomain)
+  /** Whether to invite the sender to become a member. Only the first member of its failure domain
+      does, so that two don't invite one each. A VM that did not become one, because it can't reach
+      the store, is not invited twice in a row: its requests can always be the first ones after the
+      interval. */
+  bool Invites(Instant aNow, const AttachmentRequest& aRequest)
   {
     const std::vector<VmId> members = this->fleet.LiveVmsOf(this->domain);
-    if (aDomain != this->domain || members.size() >= this->membersPerDomain ||
+    const std::size_t wanted =
+      MembersPerDomainOfFleet(this->membersPerDomain, this->fleet.VmCount());
+    if (aRequest.isMember || aRequest.domain != this->domain ||
+        aRequest.sender == this->invitedVm || members.empty() || members.size() >= wanted ||
         members.front() != this->self || aNow - this->invitedAt < kInvitationInterval) {
       return false;
     }
     this->invitedAt = aNow;
+    this->invitedVm = aRequest.sender;
     return true;
   }
 
   void OnAnswer(Instant aNow, const AttachmentAnswer& aAnswer)
   {
-    if (!this->isAttached || aAnswer.incarnation != this->incarnation || aAnswer.number == 0 ||
+    if (!this->isFollowing || aAnswer.incarnation != this->incarnation || aAnswer.number == 0 ||
         aAnswer.number != this->pendingNumber) {
       return;
     }
@@ -299,7 +386,7 @@
       aNow, aAnswer.operatorDigest == this->operators.Digest(), this->operatorsDifferSince);
     NoteDifference(aNow, aAnswer.serverDigest == this->servers.Digest(), this->serversDifferSince);
     if (!this->operatorsDifferSince) {
-      this->cluster.Confirm(this->sentAt - aAnswer.operatorAge);
+      this->Confirm(this->sentAt - aAnswer.operatorAge);
     }
     if (aAnswer.operatorAge >= kStaleConfirmationAge) {
       this->PreferNextMember(aNow);
@@ -307,6 +394,39 @@
     this->onAnswer(aNow, aAnswer, this->fleet.PeerAddressOf(this->askedMember));
   }
 
+  void OnConfirmation(Instant aNow, const ConfirmationNotice& aNotice)
+  {
+    const auto request =
+      std::find_if(this->sentRequests.begin(), this->sentRequests.end(), [&](const auto& aEntry) {
+        return aEntry.first == aNotice.number;
+      });
+    if (!this->isFollowing || aNotice.incarnation != this->incarnation ||
+        request == this->sentRequests.end()) {
+      return;
+    }
+    this->answeredAt = aNow;
+    // Clocks run at slightly different rates, so the sum can lie in the future by a little.
+    if (aNotice.operatorDigest == this->operators.Digest()) {
+      this->Confirm(std::min(request->second + aNotice.sinceRequest, aNow));
+    }
+  }
+
+  /** Confirms the configuration, and passes the confirmation on. */
+  void Confirm(Instant aAsOf)
+  {
+    if (aAsOf > this->cluster.ConfirmedAt()) {
+      this->cluster.Confirm(aAsOf);
+      this->SendConfirmations();
+    }
+  }
+
+  static void RestartPatience(Instant aNow, std::optional<Instant>& aDiffersSince)
+  {
+    if (aDiffersSince) {
+      aDiffersSince = aNow;
+    }
+  }
+
   static void NoteDifference(Instant aNow, bool aIsEqual, std::optional<Instant>& aDiffersSince)
   {
     if (aIsEqual) {
@@ -330,14 +450,19 @@
   SilenceHandler onSilence;
   /** This VM's part of kStoreCallSpread. */
   Duration storeCallDelay;
-  bool isAttached = false;
-  /** VMs that are attached to this member. */
-  std::map<VmId, AttachedVm> attachedVms;
+  FleetRole role = FleetRole::Undecided;
+  /** Whether this VM asks members instead of watching the store's tables. */
+  bool isFollowing = false;
+  std::map<VmId, Follower> followers;
   Instant invitedAt{};
+  VmId invitedVm;
   std::uint64_t lastNumber = 0;
   /** Number of the unanswered request, or zero if there is none. */
   std::uint64_t pendingNumber = 0;
   Instant sentAt{};
+  /** Numbers of the latest requests, and when they were sent. */
+  std::deque<std::pair<std::uint64_t, Instant>> sentRequests;
+  /** Time of the latest answer or notice. */
   Instant answeredAt{};
   VmId askedMember;
   /** Number of members that were passed over; decides which one is asked. */
--- a/packages/proxy/coordination/AttachmentMessage.cpp
+++ b/packages/proxy/coordination/AttachmentMessage.cpp
@@ -11,13 +11,14 @@
 
 using nlohmann::json;
 
+/** VMs send requests far more often. */
+constexpr Duration kMaxSinceRequest = std::chrono::minutes(1);
+
 json ToJson(const AttachmentRequest& aRequest)
 {
-  return { { "attach", aRequest.sender.Text() },
-           { "reply_to", aRequest.replyAddress },
-           { "domain", aRequest.domain.Text() },
-           { "incarnation", aRequest.incarnation },
-           { "number", aRequest.number } };
+  return { { "attach", aRequest.sender.Text() }, { "reply_to", aRequest.replyAddress },
+           { "domain", aRequest.domain.Text() }, { "incarnation", aRequest.incarnation },
+           { "number", aRequest.number },        { "member", aRequest.isMember } };
 }
 
 json ToJson(const AttachmentAnswer& aAnswer)
@@ -37,13 +38,32 @@
   return { { "changed_at", aNotice.sender.Text() } };
 }
 
+json ToJson(const ConfirmationNotice& aNotice)
+{
+  return { { "incarnation", aNotice.incarnation },
+           { "number", aNotice.number },
+           { "operators", aNotice.operatorDigest },
+           { "since_us", aNotice.sinceRequest.count() } };
+}
+
 AttachmentRequest DecodeRequest(const json& aValue)
 {
   return { VmId(aValue.at("attach").get<std::string>()),
            aValue.at("reply_to").get<std::string>(),
            FailureDomainName(aValue.at("domain").get<std::string>()),
            IntegerOf<std::uint64_t>(aValue.at("incarnation")),
-           IntegerOf<std::uint64_t>(aValue.at("number")) };
+           IntegerOf<std::uint64_t>(aValue.at("number")),
+           // Earlier versions don't send it.
+           aValue.contains("member") && aValue["member"].get<bool>() };
+}
+
+ConfirmationNotice DecodeConfirmation(const json& aValue)
+{
+  return { IntegerOf<std::uint64_t>(aValue.at("incarnation")),
+           IntegerOf<std::uint64_t>(aValue.at("number")),
+           IntegerOf<std::uint64_t>(aValue.at("operators")),
+           // A confirmation before the request is part of the answer.
+           Duration(IntegerOf<std::int64_t>(aValue.at("since_us"), 0, kMaxSinceRequest.count())) };
 }
 
 AttachmentAnswer DecodeAnswer(const json& aValue)
@@ -85,6 +105,9 @@
     if (value->contains("changed_at")) {
       return AttachmentNotice{ VmId(value->at("changed_at").get<std::string>()) };
     }
+    if (value->contains("since_us")) {
+      return DecodeConfirmation(*value);
+    }
     return DecodeAnswer(*value);
   } catch (const json::exception&) {
     return std::nullopt;
--- a/packages/proxy/coordination/AttachmentMessage.h
+++ b/packages/proxy/coordination/AttachmentMessage.h
@@ -12,7 +12,8 @@
 
 namespace mustardshift::proxy {
 
-/** Tells a member that the sender runs, and asks for what an attached VM needs. */
+/** Tells a member that the sender runs, and asks for what an attached VM needs. A member that does
+    not watch the store's tables sends it too. */
 struct AttachmentRequest
 {
   VmId sender;
@@ -22,6 +23,8 @@
   /** Identify the request in the answer. */
   std::uint64_t incarnation = 0;
   std::uint64_t number = 0;
+  /** The sender is a member, which is counted by its row. */
+  bool isMember = false;
 
   friend bool operator==(const AttachmentRequest&, const AttachmentRequest&) = default;
 };
@@ -52,7 +55,25 @@
   friend bool operator==(const AttachmentNotice&, const AttachmentNotice&) = default;
 };
 
-using AttachmentMessage = std::variant<AttachmentRequest, AttachmentAnswer, AttachmentNotice>;
+/** Tells a VM that the member's copy of the operators' table has been confirmed since its latest
+    request. */
+struct ConfirmationNotice
+{
+  /** Copied from the receiver's latest request. */
+  std::uint64_t incarnation = 0;
+  std::uint64_t number = 0;
+  /** TableDigest of the member's copy of the operators' table. */
+  std::uint64_t operatorDigest = 0;
+  /** Time from the arrival of that request until the instant as of which the copy is confirmed.
+      The receiver adds it to the time at which it sent the request, so that neither a late notice
+      nor clocks that differ can make the confirmation look newer than it is. */
+  Duration sinceRequest{ 0 };
+
+  friend bool operator==(const ConfirmationNotice&, const ConfirmationNotice&) = default;
+};
+
+using AttachmentMessage =
+  std::variant<AttachmentRequest, AttachmentAnswer, AttachmentNotice, ConfirmationNotice>;
 
 /** Encodes a message as CBOR. Thread safety: pure. */
 std::string EncodeAttachmentMessage(const AttachmentMessage& aMessage);
--- a/packages/proxy/coordination/ChooseDelegates.h
+++ b/packages/proxy/coordination/ChooseDelegates.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/base/Names.h"
+#include "proxy/coordination/FleetRole.h"
 
 #include <cstddef>
 #include <map>
@@ -9,8 +10,6 @@
 
 namespace mustardshift::proxy {
 
-/** In a fleet of at most this many VMs, all VMs are delegates for every task. */
-inline constexpr std::size_t kMaxVmsWithoutDelegates = 16;
 /** Number of delegates per failure domain. With two, one remains when the other stops, and a
     failure domain that is disconnected from the others still has its own delegates. */
 inline constexpr std::size_t kDelegatesPerDomain = 2;
--- a/packages/proxy/coordination/FleetCoordinator.h
+++ b/packages/proxy/coordination/FleetCoordinator.h
@@ -39,6 +39,8 @@
 public:
   /** Interval between a member's reads of the table, and between renewals of its row. */
   static constexpr Duration kRenewalPeriod = std::chrono::milliseconds(1500);
+  /** The same in a large fleet; two renewals fit into FleetView::kLivenessTimeout. */
+  static constexpr Duration kLargeFleetRenewalPeriod = std::chrono::milliseconds(2000);
   /** Interval between renewals by the holder of the promotion lease; short, so that other VMs soon
       notice when the holder stops. */
   static constexpr Duration kHolderRenewalPeriod = std::chrono::milliseconds(500);
@@ -255,6 +257,15 @@
       }));
   }
 
+  /** Number of members that this failure domain should have. VMs with little processor time are
+      found in large fleets, whose size isn't known during the start. */
+  std::size_t WantedMembers(const FleetView& aFleet) const
+  {
+    return this->processorShare < kFastProcessorShare
+             ? std::min(this->membersPerDomain, kMinMembersPerDomain)
+             : MembersPerDomainOfFleet(this->membersPerDomain, aFleet.VmCount());
+  }
+
   /** Reads the table, because rosters are some seconds behind, and becomes a member if the failure
       domain still needs one. */
   void RegisterIfNeeded(Instant aNow)
@@ -270,7 +281,7 @@
       }
       FleetView table;
       table.ApplyRead(aThen, aNow, *aRows);
-      if (this->CountOtherMembers(table) < this->membersPerDomain) {
+      if (this->CountOtherMembers(table) < this->WantedMembers(table)) {
         this->fleet.ApplyRead(aThen, aNow, *aRows);
         this->latestReadSentAt = aNow;
         this->latestVersion = std::max(this->latestVersion, aRows->version);
@@ -283,8 +294,12 @@
       again at once, because the VM's rate shares are reserved for it. */
   void DecideRole(Instant aNow)
   {
-    const bool isMemberMissing = this->CountOtherMembers(this->fleet) < this->membersPerDomain;
-    if (!isMemberMissing && !this->peerAddress.empty()) {
+    const bool isMemberMissing =
+      this->CountOtherMembers(this->fleet) < this->WantedMembers(this->fleet);
+    // Several members of a failure domain can stop at the same moment. Each of them finds the
+    // recent rows of the others when it starts again.
+    const bool wasMember = this->fleet.HasRecentRow(this->self);
+    if (!isMemberMissing && !wasMember && !this->peerAddress.empty()) {
       this->SetRole(aNow, FleetRole::Attached);
     } else if (this->peerAddress.empty() || this->fleet.Members().contains(this->self) ||
                (this->registrationAt && aNow >= *this->registrationAt)) {
@@ -302,7 +317,13 @@
     const bool readsForPromotion =
       (this->isPromotionPending || !this->unreachablePrimaries.empty()) &&
       this->fleet.IsHolderOrEarlySuccessor(this->self);
-    return readsForPromotion || this->HasUnallocatedRate() ? kFastReadPeriod : kRenewalPeriod;
+    return readsForPromotion || this->HasUnallocatedRate() ? kFastReadPeriod
+                                                           : this->RenewalPeriod();
+  }
+
+  Duration RenewalPeriod() const
+  {
+    return this->fleet.IsLarge() ? kLargeFleetRenewalPeriod : kRenewalPeriod;
   }
 
   /** Whether the configuration has an organisation of whose rate no VM holds parts yet. */
@@ -416,7 +437,7 @@
   {
     const std::vector<VmId> members = this->fleet.LiveVmsOf(this->domain);
     const auto& lease = this->fleet.PromotionLease();
-    const bool isInExcess = members.size() > this->membersPerDomain &&
+    const bool isInExcess = members.size() > this->WantedMembers(this->fleet) &&
                             members.back() == this->self && !this->peerAddress.empty() &&
                             !(lease && lease->holder == this->self);
     if (!isInExcess) {
@@ -465,7 +486,7 @@
       this->RenewPeriodically(aThen, aLoop);
       const auto& lease = this->fleet.PromotionLease();
       const bool isHolder = lease && lease->holder == this->self;
-      if (isHolder || aThen - this->renewedAt >= kRenewalPeriod) {
+      if (isHolder || aThen - this->renewedAt >= this->RenewalPeriod()) {
         this->Renew(aThen);
       }
     });
--- a/packages/proxy/coordination/FleetRole.h
+++ b/packages/proxy/coordination/FleetRole.h
@@ -34,6 +34,10 @@
 inline constexpr std::size_t kMinMembersPerDomain = 2;
 inline constexpr std::size_t kMaxMembersPerDomain = 4;
 
+/** In a fleet of at most this many VMs, all VMs are delegates for every task, and all members watch
+    the store's tables. */
+inline constexpr std::size_t kMaxVmsWithoutDelegates = 16;
+
 /** Number of members that each of aDomainCount failure domains should have. Thread safety: pure. */
 constexpr std::size_t MembersPerDomain(std::size_t aDomainCount)
 {
@@ -42,4 +46,14 @@
     (kWantedMembers + domains - 1) / domains, kMinMembersPerDomain, kMaxMembersPerDomain);
 }
 
+/** Number of members that each failure domain should have in a fleet of aVmCount VMs. Large fleets
+    have the fewest that still replace each other, because each member calls the store.
+    Thread safety: pure.
+    @param aMembersPerDomain  result of MembersPerDomain(). */
+constexpr std::size_t MembersPerDomainOfFleet(std::size_t aMembersPerDomain, std::size_t aVmCount)
+{
+  return aVmCount > kMaxVmsWithoutDelegates ? std::min(aMembersPerDomain, kMinMembersPerDomain)
+                                            : aMembersPerDomain;
+}
+
 } // namespace mustardshift::proxy
--- a/packages/proxy/coordination/FleetView.cpp
+++ b/packages/proxy/coordination/FleetView.cpp
@@ -105,6 +105,21 @@
   return std::max<std::size_t>(1, count);
 }
 
+bool FleetView::IsWatcher(const VmId& aVm) const
+{
+  if (!this->IsLarge()) {
+    return true;
+  }
+  std::map<FailureDomainName, VmId> firstMembers;
+  for (const VmId& vm : this->LiveVms()) {
+    firstMembers.try_emplace(this->DomainOf(vm), vm);
+  }
+  std::size_t count = 0;
+  return std::any_of(firstMembers.begin(), firstMembers.end(), [&](const auto& aEntry) {
+    return ++count <= kMaxWatchers && aEntry.second == aVm;
+  });
+}
+
 std::optional<std::chrono::milliseconds> FleetView::EarliestStoreTime(Instant aNow) const
 {
   if (!this->storeTime) {
--- a/packages/proxy/coordination/FleetView.h
+++ b/packages/proxy/coordination/FleetView.h
@@ -2,6 +2,7 @@
 
 #include "core/base/Instant.h"
 #include "core/base/Names.h"
+#include "proxy/coordination/FleetRole.h"
 #include "proxy/coordination/FleetRoster.h"
 #include "proxy/coordination/MemberRow.h"
 #include "proxy/coordination/PromotionLeaseRow.h"
@@ -55,6 +56,10 @@
       of FleetCoordinator::kRenewalPeriod. Reports of VMs that are not live are ignored. */
   static constexpr Duration kLivenessTimeout = std::chrono::milliseconds(4500);
 
+  /** Number of VMs that watch the store's tables in a large fleet. Those that remain when one or
+     two stop still confirm the configuration in time. */
+  static constexpr std::size_t kMaxWatchers = 4;
+
   /** A row that has not changed for this long is removed. A VM that still runs writes its row
       again. Longer than any outage of the store that VMs are expected to survive. */
   static constexpr Duration kRowRemovalDelay = std::chrono::seconds(60);
@@ -92,6 +97,14 @@
       expired, and the VMs attached to them. At least one. */
   std::size_t VmCount() const;
 
+  /** Whether the fleet has so many VMs that few of them should call the store. */
+  bool IsLarge() const { return this->VmCount() > kMaxVmsWithoutDelegates; }
+
+  /** Whether a VM watches the store's tables. In a large fleet only the first live member of each
+      failure domain does, of at most kMaxWatchers domains; the other members get the rows and
+      their confirmations from these. */
+  bool IsWatcher(const VmId& aVm) const;
+
   /** Lower and upper bound of the store's time at an instant of this VM's clock, computed from the
       latest read; nothing if the store did not report its time. */
   std::optional<std::chrono::milliseconds> EarliestStoreTime(Instant aNow) const;
--- a/packages/proxy/coordination/TableFollower.h
+++ b/packages/proxy/coordination/TableFollower.h
@@ -85,6 +85,13 @@
       fallback. */
   void SetStoreIsFallback(bool aIsFallback) { this->isStoreFallback = aIsFallback; }
 
+  /** Sets a function that returns the time between the answers to two watches, when both have
+      changes; zero to watch again at once. */
+  void SetBurstPause(std::function<Duration()> aBurstPause)
+  {
+    this->burstPause = std::move(aBurstPause);
+  }
+
   /** Replaces the copy by that of another VM, unless that one is older. Does nothing while an
       earlier call is unanswered. */
   void ReadFromPeer(Instant /*aNow*/, const std::string& aAddress)
@@ -178,6 +185,7 @@
       return;
     }
     this->hasSnapshot = true;
+    const bool hasChanges = !aIsSnapshot && !aRows->rows.empty();
     try {
       this->Apply(aNow, aIsSnapshot, *aRows);
       if (aRows->version >= this->latestVersion) {
@@ -189,9 +197,25 @@
       this->log.Write(
         aNow, "store", "rows-not-applied", { { "table", this->table }, { "why", error.what() } });
     }
+    if (hasChanges && this->DelayWatch(aNow)) {
+      return;
+    }
     this->CallStore(aNow);
   }
 
+  /** Delays the next watch if changes have come in quick succession, so that it returns those that
+      are still to come together. Returns whether it did. */
+  bool DelayWatch(Instant aNow)
+  {
+    const Duration pause = this->burstPause ? this->burstPause() : Duration(0);
+    const Instant previous = std::exchange(this->changedAt, aNow);
+    if (aNow - previous >= pause) {
+      return false;
+    }
+    this->scheduler.Schedule(aNow + pause, [this](Instant aThen) { this->CallStore(aThen); });
+    return true;
+  }
+
   /** A read of the whole table can return an older version than one seen before. The watch then
       delivers the changes since that version. */
   void Apply(Instant aNow, bool aIsSnapshot, const StoredRows& aRows)
@@ -243,6 +267,9 @@
   Duration wait;
   Handlers handlers;
   std::function<bool(Instant)> skipStore;
+  std::function<Duration()> burstPause;
+  /** Time of the latest answer to a watch that had changes. */
+  Instant changedAt{};
   bool isStoreFallback = false;
   /** Whether SetSkipStore()'s predicate has been true since the latest call to the store. */
   bool hasSkippedStore = false;
--- a/packages/proxy/tests/MembershipHistoryTest.cpp
+++ b/packages/proxy/tests/MembershipHistoryTest.cpp
@@ -25,6 +25,13 @@
     }));
 }
 
+/** Number of members that each failure domain should have. */
+std::size_t MembersOfDomain(const FleetSimulation& aFleet)
+{
+  return MembersPerDomainOfFleet(MembersPerDomain(FleetSimulation::kFailureDomainCount),
+                                 aFleet.vms.size());
+}
+
 std::size_t CountReady(const FleetSimulation& aFleet)
 {
   return static_cast<std::size_t>(
@@ -64,6 +71,8 @@
   CPPUNIT_TEST_SUITE(MembershipHistoryTest);
   CPPUNIT_TEST(StoreCallsDoNotGrowWithTheFleet);
   CPPUNIT_TEST(SmallFleetsHaveMembersOnly);
+  CPPUNIT_TEST(FewMembersWatchTheTables);
+  CPPUNIT_TEST(ConfirmationsAreRecentAndNeverTooNew);
   CPPUNIT_TEST(ChangesReachAttachedVmsAtOnce);
   CPPUNIT_TEST(MembersThatStopAreReplaced);
   CPPUNIT_TEST(MostVmsMayStopAtOnce);
@@ -93,7 +102,7 @@
       fleet.Advance(seconds(15));
       callsPerSecond[vms] = CallsPerSecond(fleet, seconds(5));
     }
-    CPPUNIT_ASSERT_MESSAGE(std::to_string(callsPerSecond[800]), callsPerSecond[800] < 60);
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(callsPerSecond[800]), callsPerSecond[800] < 20);
     CPPUNIT_ASSERT_MESSAGE(std::to_string(callsPerSecond[300]) + " and " +
                              std::to_string(callsPerSecond[20]),
                            callsPerSecond[300] < 1.5 * callsPerSecond[20]);
@@ -105,6 +114,68 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(9), CountRole(fleet, FleetRole::Member));
   }
 
+  /** The pattern of a large fleet whose members all watch the same tables: two thirds of its calls
+      to the store. Guards against members that go on watching, and against a fleet in which nobody
+      watches after the watchers have stopped. */
+  void FewMembersWatchTheTables()
+  {
+    FleetSimulation fleet(60, 127);
+    fleet.Advance(seconds(15));
+    const auto countWatchers = [&] {
+      return std::count_if(fleet.vms.begin(), fleet.vms.end(), [](const auto& aVm) {
+        return aVm.proxy->Role() == FleetRole::Member &&
+               aVm.proxy->Fleet().IsWatcher(VmId(aVm.name));
+      });
+    };
+    const auto domains = static_cast<std::ptrdiff_t>(FleetSimulation::kFailureDomainCount);
+    CPPUNIT_ASSERT_EQUAL(domains, countWatchers());
+    Section("all watchers stop at once: other members watch instead", [&] {
+      for (std::size_t index = fleet.vms.size(); index-- > 0;) {
+        const auto& vm = fleet.vms[index];
+        if (vm.proxy->Role() == FleetRole::Member && vm.proxy->Fleet().IsWatcher(VmId(vm.name))) {
+          fleet.Kill(index);
+        }
+      }
+      for (int step = 0; step < 100; ++step) {
+        fleet.Advance(milliseconds(100));
+        for (const auto& vm : fleet.vms) {
+          CPPUNIT_ASSERT(vm.proxy->Cluster().IsTrusted(fleet.now));
+        }
+      }
+      CPPUNIT_ASSERT_EQUAL(domains, countWatchers());
+    });
+  }
+
+  /** Guards against notices that make a configuration look newer than it is, so that a withdrawn
+      key is served for too long, and against confirmations that reach the VMs late. */
+  void ConfirmationsAreRecentAndNeverTooNew()
+  {
+    for (unsigned seed = 1; seed <= 4; ++seed) {
+      FleetSimulation fleet(60, 130 + seed);
+      fleet.Advance(seconds(15));
+      Section("no VM's confirmation is older than two watches and the way", [&] {
+        for (int step = 0; step < 30; ++step) {
+          fleet.Advance(milliseconds(100));
+          for (const auto& vm : fleet.vms) {
+            CPPUNIT_ASSERT(fleet.now - vm.proxy->Cluster().ConfirmedAt() <= milliseconds(1700));
+          }
+        }
+      });
+      Section("messages are late, and the store stops answering", [&] {
+        fleet.maxReportDelayMs = 600;
+        fleet.Advance(seconds(2));
+        fleet.store.behaviour = [](const std::string&) { return test::StoreBehaviour::Refuse; };
+        const Instant lostAt = fleet.now;
+        for (int step = 0; step < 30; ++step) {
+          fleet.Advance(milliseconds(100));
+          for (const auto& vm : fleet.vms) {
+            CPPUNIT_ASSERT(vm.proxy->Cluster().ConfirmedAt() <= lostAt);
+          }
+        }
+      });
+    }
+  }
+
   /** An attached VM has to know of an evacuation well before the bound of the operators, of which a
       draining primary takes the larger part. */
   void ChangesReachAttachedVmsAtOnce()
@@ -177,8 +248,7 @@
       });
       // Several may have registered at the same time; each in excess leaves after 10 s.
       fleet.Advance(seconds(60));
-      CPPUNIT_ASSERT_EQUAL(MembersPerDomain(FleetSimulation::kFailureDomainCount),
-                           static_cast<std::size_t>(membersOfDomain()));
+      CPPUNIT_ASSERT_EQUAL(MembersOfDomain(fleet), static_cast<std::size_t>(membersOfDomain()));
     });
     Section("one member stops, and one VM is invited in its place", [&] {
       for (std::size_t index = 0; index < fleet.vms.size(); ++index) {
@@ -189,8 +259,7 @@
         }
       }
       fleet.Advance(seconds(12));
-      CPPUNIT_ASSERT_EQUAL(MembersPerDomain(FleetSimulation::kFailureDomainCount),
-                           static_cast<std::size_t>(membersOfDomain()));
+      CPPUNIT_ASSERT_EQUAL(MembersOfDomain(fleet), static_cast<std::size_t>(membersOfDomain()));
     });
   }
 
@@ -224,8 +293,7 @@
   {
     FleetSimulation fleet(200, 121);
     fleet.Advance(seconds(60));
-    CPPUNIT_ASSERT_EQUAL(FleetSimulation::kFailureDomainCount *
-                           MembersPerDomain(FleetSimulation::kFailureDomainCount),
+    CPPUNIT_ASSERT_EQUAL(FleetSimulation::kFailureDomainCount * MembersOfDomain(fleet),
                          CountRole(fleet, FleetRole::Member));
     CPPUNIT_ASSERT_EQUAL(fleet.vms.size(), CountReady(fleet));
     Section("their rates are held by the others",
--- a/packages/proxy/tests/PeerMessageTest.cpp
+++ b/packages/proxy/tests/PeerMessageTest.cpp
@@ -49,8 +49,12 @@
     filledAnswer.isInvited = true;
     filledAnswer.roster = { { { VmId("vm-2"), FailureDomainName("d-1"), "10.0.0.2:7" } }, 295 };
     const AttachmentMessage reply = filledAnswer;
+    const AttachmentMessage memberQuestion =
+      AttachmentRequest{ VmId("vm-3"), "10.0.0.3:7", FailureDomainName("d-1"), 7, 9, true };
     const AttachmentMessage notice = AttachmentNotice{ VmId("vm-2") };
-    for (const AttachmentMessage& message : { question, reply, notice }) {
+    const AttachmentMessage confirmation = ConfirmationNotice{ 7, 8, 12, milliseconds(300) };
+    for (const AttachmentMessage& message :
+         { question, memberQuestion, reply, notice, confirmation }) {
       CPPUNIT_ASSERT(DecodeAttachmentMessage(EncodeAttachmentMessage(message)) == message);
     }
     Section("each kind of message is accepted by its own decoder only", [&] {
@@ -58,7 +62,7 @@
         CPPUNIT_ASSERT(!DecodeAttachmentMessage(EncodePositionMessage(message)));
         CPPUNIT_ASSERT(!DecodeTokenMessage(EncodePositionMessage(message)));
       }
-      for (const AttachmentMessage& message : { question, reply, notice }) {
+      for (const AttachmentMessage& message : { question, reply, notice, confirmation }) {
         CPPUNIT_ASSERT(!DecodePositionMessage(EncodeAttachmentMessage(message)));
         CPPUNIT_ASSERT(!DecodeTokenMessage(EncodeAttachmentMessage(message)));
       }
@@ -72,6 +76,20 @@
       negativeAgeConfirmation.operatorAge = milliseconds(-250);
       CPPUNIT_ASSERT(!DecodeAttachmentMessage(EncodeAttachmentMessage(negativeAgeConfirmation)));
     });
+    Section("a notice of a confirmation that is far from its request is rejected", [] {
+      for (const auto sinceRequest : { std::chrono::seconds(-1), std::chrono::seconds(61) }) {
+        CPPUNIT_ASSERT(!DecodeAttachmentMessage(
+          EncodeAttachmentMessage(ConfirmationNotice{ 7, 8, 12, sinceRequest })));
+      }
+    });
+    Section("a request of an earlier version is one of an attached VM", [] {
+      const auto decoded = DecodeAttachmentMessage(ToCbor({ { "attach", "vm-1" },
+                                                            { "reply_to", "10.0.0.1:7" },
+                                                            { "domain", "d-1" },
+                                                            { "incarnation", 7 },
+                                                            { "number", 8 } }));
+      CPPUNIT_ASSERT(decoded && !std::get<AttachmentRequest>(*decoded).isMember);
+    });
   }
 
   /** Guards against numbers that wrap to valid ones: an age that becomes negative would date a
@@ -157,6 +175,7 @@
         PositionAnswer{ 7, 8, { { DatabaseName("fittings"), { 3, 1207 }, milliseconds(250) } } }),
       EncodeAttachmentMessage(
         AttachmentRequest{ VmId("vm-1"), "10.0.0.1:7", FailureDomainName("d-1"), 7, 8 }),
+      EncodeAttachmentMessage(ConfirmationNotice{ 7, 8, 12, milliseconds(300) }),
     };
     for (const std::string& message : messages) {
       for (std::size_t length = 0; length < message.size(); ++length) {
