Choose servers by expected completion and keep reads in their domain

Change: ServerSelector ranks by expected wait, round trip, crossing cost and imbalance. Organisations with little demand keep one replica that all VMs compute alike. ServerLoadView halves old waits and keeps utilisations for 10 s. The tests' simulated gateway and server moved to a class of their own.

--- a/packages/proxy/admission/ServerAdmission.cpp
+++ b/packages/proxy/admission/ServerAdmission.cpp
@@ -18,10 +18,6 @@
 /** An arrival is refused if it would start too late when the wait takes this part of what the rate
    of its organisation's starts lets expect. */
 constexpr int kForecastPercent = 80;
-/** An arrival displaces earlier work of its level if its organisation's waiting work is less than
-    this part of that of the other organisation. Close to 1, organisations with the same demand
-   would displace each other's work all the time, after it has waited in vain. */
-constexpr double kMaxDisplacingWork = 0.5;
 /** Answers that the expected times remember: a change is followed within a fifth of a second at the
     usual load of 100 statements/s. */
 constexpr unsigned kEstimateMemory = 50;
@@ -274,8 +270,13 @@
   for (const auto& [number, level] : this->levels) {
     numbers.push_back(number);
   }
+  // From the highest level down: what is refused there no longer goes before the others.
   for (const LevelNumber number : numbers) {
-    while (this->levels.contains(number) && this->RefuseLateStartsOf(aNow, number, aDecisions)) {
+    for (const AdmissionTicket ticket : this->FindLateStarts(aNow, number)) {
+      this->Refuse(ticket,
+                   this->IsArrival(ticket) ? AdmissionRefusalReason::TooMuchAhead
+                                           : AdmissionRefusalReason::Displaced,
+                   aDecisions);
     }
   }
 }
@@ -298,35 +299,8 @@
   }
 }
 
-/** Refuses work of one level. Returns whether the level has to be looked at again. */
-bool ServerAdmission::RefuseLateStartsOf(Instant aNow,
-                                         LevelNumber aLevel,
-                                         AdmissionDecisions& aDecisions)
-{
-  for (const AdmissionTicket ticket : this->FindLateStarts(aNow, aLevel, Arrivals::Left)) {
-    this->Refuse(ticket,
-                 this->IsArrival(ticket) ? AdmissionRefusalReason::TooMuchAhead
-                                         : AdmissionRefusalReason::Displaced,
-                 aDecisions);
-  }
-  if (!this->levels.contains(aLevel)) {
-    return false;
-  }
-  for (const AdmissionTicket ticket : this->FindLateStarts(aNow, aLevel, Arrivals::Counted)) {
-    const std::optional<AdmissionTicket> arrival = this->FindArrivalToRefuse(ticket);
-    if (arrival) {
-      this->Refuse(*arrival, AdmissionRefusalReason::TooMuchAhead, aDecisions);
-      return true;
-    }
-    this->Refuse(ticket, AdmissionRefusalReason::Displaced, aDecisions);
-  }
-  return false;
-}
-
 /** Returns the requests of a level that can't start in time, given those before them that can. */
-std::vector<AdmissionTicket> ServerAdmission::FindLateStarts(Instant aNow,
-                                                             LevelNumber aLevel,
-                                                             Arrivals aArrivals) const
+std::vector<AdmissionTicket> ServerAdmission::FindLateStarts(Instant aNow, LevelNumber aLevel) const
 {
   const WaitingLevel& level = this->levels.at(aLevel);
   const WorkAhead ahead = this->WorkAheadOf(aNow, aLevel);
@@ -344,7 +318,7 @@
   for (const auto& [key, entry] : level.Entries()) {
     if (earliestStart(ownWork, ownStarts) > entry.startBy) {
       late.push_back(key.second);
-    } else if (aArrivals == Arrivals::Counted || !this->IsArrival(key.second)) {
+    } else {
       ownWork += entry.cost;
       ++ownStarts;
     }
@@ -357,26 +331,6 @@
   return std::find(this->arrivals.begin(), this->arrivals.end(), aTicket) != this->arrivals.end();
 }
 
-/** Returns the new request to refuse in place of one of the same level that becomes late by new
-    requests; nothing if those have a right to displace it. */
-std::optional<AdmissionTicket> ServerAdmission::FindArrivalToRefuse(AdmissionTicket aLate) const
-{
-  if (this->IsArrival(aLate)) {
-    return aLate;
-  }
-  const Waiting& late = this->waiting.at(aLate);
-  const WaitingLevel& level = this->levels.at(late.level);
-  const double lateWork = level.WorkOf(late.item.organisation);
-  for (const AdmissionTicket ticket : this->arrivals) {
-    const auto found = this->waiting.find(ticket);
-    if (found != this->waiting.end() && found->second.level == late.level &&
-        level.WorkOf(found->second.item.organisation) >= kMaxDisplacingWork * lateWork) {
-      return ticket;
-    }
-  }
-  return std::nullopt;
-}
-
 void ServerAdmission::RefuseOverflow(AdmissionDecisions& aDecisions)
 {
   while (this->waiting.size() > kMaxWaiting) {
--- a/packages/proxy/admission/ServerAdmission.h
+++ b/packages/proxy/admission/ServerAdmission.h
@@ -35,8 +35,9 @@
     the order of their target times, or of startBy where the target is missed.
 
     Refused at once: work that can't start by its startBy, given the work ahead of it and the
-   measured times, and work that a new arrival pushes beyond its startBy. Nothing is refused while a
-   slot is free, except work whose startBy has passed.
+   measured times, or the rate at which its organisation's work has started lately; and work that
+   new arrivals push beyond its startBy. Nothing is refused while a slot is free, except work whose
+   startBy has passed.
 
     Usage: after each Add(), Remove() and Finish(), and at NextDue(), call Step() and carry out what
     it returns. Each admitted ticket ends with one Finish().
@@ -105,13 +106,6 @@
   using LevelNumber = unsigned;
   using Levels = std::map<LevelNumber, WaitingLevel>;
 
-  /** Whether new requests count as work ahead of others in their level. */
-  enum class Arrivals
-  {
-    Left,
-    Counted,
-  };
-
   struct Waiting
   {
     LevelNumber level = 0;
@@ -142,13 +136,9 @@
               AdmissionDecisions& aDecisions);
   void RefuseExpired(Instant aNow, AdmissionDecisions& aDecisions);
   void RefuseLateStarts(Instant aNow, AdmissionDecisions& aDecisions);
-  bool RefuseLateStartsOf(Instant aNow, LevelNumber aLevel, AdmissionDecisions& aDecisions);
   void RefuseSlowArrivals(Instant aNow, AdmissionDecisions& aDecisions);
-  std::vector<AdmissionTicket> FindLateStarts(Instant aNow,
-                                              LevelNumber aLevel,
-                                              Arrivals aArrivals) const;
+  std::vector<AdmissionTicket> FindLateStarts(Instant aNow, LevelNumber aLevel) const;
   bool IsArrival(AdmissionTicket aTicket) const;
-  std::optional<AdmissionTicket> FindArrivalToRefuse(AdmissionTicket aLate) const;
   void RefuseOverflow(AdmissionDecisions& aDecisions);
   void RecordTimes(Instant aNow, const InFlight& aWork, const AdmissionOutcome& aOutcome);
   void UpdateUtilisation(Instant aNow);
--- a/packages/proxy/admission/WaitingLevel.cpp
+++ b/packages/proxy/admission/WaitingLevel.cpp
@@ -57,12 +57,6 @@
   this->ForgetIfIdle(aItem.organisation);
 }
 
-double WaitingLevel::WorkOf(const OrganisationName& aOrganisation) const
-{
-  const auto organisation = this->organisations.find(aOrganisation);
-  return organisation == this->organisations.end() ? 0 : organisation->second.work;
-}
-
 std::optional<Duration> WaitingLevel::ExpectedWait(const WaitingItem& aItem) const
 {
   const Organisation& organisation = this->organisations.at(aItem.organisation);
--- a/packages/proxy/admission/WaitingLevel.h
+++ b/packages/proxy/admission/WaitingLevel.h
@@ -54,9 +54,6 @@
   /** Earliest startBy. Precondition: not empty. */
   Instant EarliestStartBy() const { return *this->startTimes.begin(); }
 
-  /** Waiting work of an organisation, divided by its weight, in microseconds. */
-  double WorkOf(const OrganisationName& aOrganisation) const;
-
   /** Expected time until an item starts, by the rate at which work of its organisation has started
       lately; nothing if that is unknown, or if others of its organisation go later. Precondition:
      it is in the level. */
@@ -70,6 +67,7 @@
   struct OrganisationItem
   {
     double startTag = 0;
+    /** Cost divided by weight. */
     double span = 0;
     Entry entry;
   };
@@ -77,7 +75,7 @@
   {
     /** Start tag of the next item to be first. */
     double nextTag = 0;
-    /** Sum of the items' spans. */
+    /** Sum of the items' costs, divided by their weights, in microseconds. */
     double work = 0;
     DrainRate rate;
     std::map<std::pair<Instant, AdmissionTicket>, OrganisationItem> items;
--- a/packages/proxy/routing/ServerLoadView.cpp
+++ b/packages/proxy/routing/ServerLoadView.cpp
@@ -37,4 +37,13 @@
   return load;
 }
 
+std::optional<double> ServerLoadView::UtilisationOf(Instant aNow, const ServerId& aServer) const
+{
+  const auto report = this->reports.find(aServer);
+  if (report == this->reports.end() || aNow - report->second.measuredAt > kUtilisationFor) {
+    return std::nullopt;
+  }
+  return report->second.load.utilisation;
+}
+
 } // namespace mustardshift::proxy
--- a/packages/proxy/routing/ServerLoadView.h
+++ b/packages/proxy/routing/ServerLoadView.h
@@ -4,6 +4,7 @@
 #include "proxy/admission/ServerLoad.h"
 #include "proxy/cluster/ServerRecord.h"
 
+#include <optional>
 #include <unordered_map>
 
 namespace mustardshift::proxy {
@@ -21,6 +22,10 @@
   /** After kFullFor, a load is halved each time this long has passed. */
   static constexpr Duration kHalfLife = std::chrono::milliseconds(500);
 
+  /** A utilisation counts for this long. It is an average over a second and moves with the demand,
+      not with single statements. */
+  static constexpr Duration kUtilisationFor = std::chrono::seconds(10);
+
   /** Stores a report unless a later one is known.
       @param aMeasuredAt  when the gateway measured the load, on this VM's clock: the arrival of the
         report, less its age. */
@@ -32,6 +37,9 @@
   /** The load to assume now; an unloaded server if nothing is known. */
   ServerLoad LoadOf(Instant aNow, const ServerId& aServer) const;
 
+  /** ServerLoad::utilisation as reported within kUtilisationFor; nothing if there is none. */
+  std::optional<double> UtilisationOf(Instant aNow, const ServerId& aServer) const;
+
 private:
   struct Report
   {
--- a/packages/proxy/routing/ServerSelector.h
+++ b/packages/proxy/routing/ServerSelector.h
@@ -2,6 +2,8 @@
 
 #include "core/base/Instant.h"
 #include "core/base/Names.h"
+#include "proxy/routing/LeavingShare.h"
+#include "proxy/routing/RankedCandidate.h"
 #include "proxy/routing/SelectionRequest.h"
 #include "proxy/routing/SelectionResult.h"
 #include "proxy/routing/ServerLoadView.h"
@@ -23,10 +25,19 @@
    units of the crossing cost. It is drawn for each statement and changes only gradually, since up
    to a hundred VMs see the same reports and would otherwise move together.
 
+    A server that its gateway reports as ejected is left out, unless all are, but at most half of
+   the replicas at once; the only candidate is always returned.
+
     Thread safety: none; one thread owns the object. */
 class ServerSelector
 {
 public:
+  /** An organisation whose configured rate, divided by the numbers of groups and failure domains,
+     is less than this has little demand: a connection of its own in each failure domain would be
+     idle for most of the 300 ms after which scarce connections are closed. In operations per
+     second. */
+  static constexpr double kLittleDemand = 1;
+
   /** Precondition: the view outlives the selector. */
   ServerSelector(const ServerLoadView& aView, ServerSelectorOptions aOptions);
 
@@ -38,20 +49,31 @@
 
   /** Share of a group's statements that leaves the home servers now, between 0 and 1, for
       organisations that use their own failure domain. */
-  double LeavingShare(const DatabaseName& aGroup) const;
+  double LeavingShareOf(const DatabaseName& aGroup) const;
 
 private:
-  /** Home of an organisation with little demand, or an empty id for the own failure domain. */
+  /** Group, and the server of an organisation with little demand or an empty id. */
   using HomeKey = std::pair<DatabaseName, ServerId>;
-  struct Share
+  using Ranked = std::vector<RankedCandidate>;
+  struct Home
   {
-    double value = 0;
-    Instant changedAt{};
+    /** The server of an organisation with little demand, or an empty id. */
+    ServerId affinity;
+    SelectionReason reason = SelectionReason::OwnDomain;
   };
 
+  Ranked Judge(Instant aNow, const SelectionRequest& aRequest) const;
+  void AddImbalance(Instant aNow, double aAverageUtilisation, Ranked& aRanked) const;
+  Home MarkHome(const SelectionRequest& aRequest, Ranked& aRanked) const;
+  bool HasLittleDemand(const SelectionRequest& aRequest) const;
+  double TargetShare(const Ranked& aRanked) const;
+  LeavingShare& ShareFor(Instant aNow, const HomeKey& aKey);
+  std::size_t Draw(const Ranked& aRanked, bool aIsHome, double aDraw) const;
+  double CostUnit() const;
+
   ServerSelectorOptions options;
   const ServerLoadView& view;
-  std::map<HomeKey, Share> shares;
+  std::map<HomeKey, LeavingShare> shares;
 };
 
 } // namespace mustardshift::proxy
--- a/packages/proxy/tests/AdmissionSimulation.h
+++ b/packages/proxy/tests/AdmissionSimulation.h
@@ -1,14 +1,10 @@
 #pragma once
 
+#include "SimulatedServer.h"
 #include "core/base/Instant.h"
-#include "proxy/admission/ServerAdmission.h"
 #include "proxy/schedule/Scheduler.h"
 
-#include <cstddef>
-#include <deque>
 #include <functional>
-#include <map>
-#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -24,66 +20,25 @@
   Duration serverTime{ 0 };
 };
 
-/** What became of a SimulatedArrival. */
-struct SimulatedEnd
-{
-  std::optional<Instant> startedAt;
-  std::optional<AdmissionRefusalReason> refusal;
-  /** The work could have started in time after the work that was ahead of it, as the server's real
-      times show. */
-  bool wasRefusedWrongly = false;
-  bool wasRejectedAsBusy = false;
-};
-
-/** One gateway with ServerAdmission in front of a database server that runs one statement in each
-    slot, in the order of arrival. Checks in each step that no more than slots + 1 statements are at
-    the server, and that nothing is refused while a slot is free. */
+/** Arrivals at one SimulatedServer in virtual time. */
 class AdmissionSimulation
 {
 public:
-  /** Factor on the times of the server at an instant. */
-  using SlownessAt = std::function<double(Instant)>;
-  /** Whether the server rejects work at an instant. */
-  using IsBusyAt = std::function<bool(Instant)>;
-
-  explicit AdmissionSimulation(unsigned aSlots);
+  explicit AdmissionSimulation(unsigned aSlots)
+    : server(this->scheduler, aSlots)
+  {
+  }
 
   /** Runs until all arrivals have ended. Arrivals are ordered by time. */
   std::vector<SimulatedEnd> Run(const std::vector<SimulatedArrival>& aArrivals);
 
-  ServerAdmission admission;
-  SlownessAt slownessAt = [](Instant) { return 1.0; };
-  IsBusyAt isBusyAt = [](Instant) { return false; };
-  /** Sets SimulatedEnd::wasRefusedWrongly. */
-  bool checksRefusals = false;
-  /** Time of slots without work since this instant. */
-  Instant countIdleFrom{};
-  Duration idleTime{ 0 };
-  /** Called after each step. */
-  std::function<void(Instant)> onStep = [](Instant) {};
-
 private:
-  void Step(Instant aNow);
-  void CheckRefusals(Instant aNow,
-                     const std::vector<AdmissionTicket>& aOrder,
-                     const AdmissionDecisions& aDecisions);
-  std::map<std::size_t, Instant> RealStarts(Instant aNow,
-                                            const std::vector<AdmissionTicket>& aOrder) const;
-  void CountIdleTime(Instant aNow);
-  void Send(Instant aNow, std::size_t aIndex);
-  void RunAtServer(Instant aNow, std::size_t aIndex);
-  void Answer(Instant aNow, std::size_t aIndex, AdmissionEnd aEnd);
-
-  unsigned slots;
-  const std::vector<SimulatedArrival>* arrivals = nullptr;
-  std::vector<SimulatedEnd> ends;
-  std::vector<Instant> sentAt;
   Scheduler scheduler;
-  std::map<AdmissionTicket, std::size_t> indexOf;
-  std::vector<AdmissionTicket> tickets;
-  std::map<std::size_t, Instant> endsAtServer;
-  Instant countedUntil{};
-  std::deque<std::size_t> queueAtServer;
+
+public:
+  SimulatedServer server;
+  /** Called before each event. */
+  std::function<void(Instant)> onEvent = [](Instant) {};
 };
 
 /** A stream of statements of one organisation with random times. */
--- a/packages/proxy/tests/ServerAdmissionTest.cpp
+++ b/packages/proxy/tests/ServerAdmissionTest.cpp
@@ -307,11 +307,11 @@
         std::mt19937 random(seed);
         const auto arrivals = MakeArrivals(MixedLoad(load, seconds(10)), random);
         AdmissionSimulation simulation(kSlots);
-        simulation.checksRefusals = true;
+        simulation.server.checksRefusals = true;
         // The queue fills in the first two seconds, and empties at the end.
-        simulation.countIdleFrom = kBegin + seconds(2);
-        simulation.onStep = [&](Instant aNow) {
-          idleTime = aNow < kBegin + seconds(10) ? simulation.idleTime : idleTime;
+        simulation.server.countIdleFrom = kBegin + seconds(2);
+        simulation.onEvent = [&](Instant aNow) {
+          idleTime = aNow < kBegin + seconds(10) ? simulation.server.idleTime : idleTime;
         };
         for (const SimulatedEnd& end : simulation.Run(arrivals)) {
           refused[end.refusal.value_or(AdmissionRefusalReason::QueueFull)] += end.refusal ? 1 : 0;
@@ -404,15 +404,14 @@
     std::mt19937 random(3);
     const auto arrivals = MakeArrivals(MixedLoad(0.9, seconds(6)), random);
     AdmissionSimulation simulation(kSlots);
-    simulation.isBusyAt = [](Instant aNow) {
-      return aNow >= kBegin + seconds(2) && aNow < kBegin + seconds(4);
-    };
     unsigned lowest = kSlots;
     unsigned atEnd = 0;
-    simulation.onStep = [&](Instant aNow) {
-      lowest = std::min(lowest, simulation.admission.Limit());
-      atEnd =
-        aNow < kBegin + milliseconds(4500) ? 0 : std::max(atEnd, simulation.admission.Limit());
+    simulation.onEvent = [&](Instant aNow) {
+      simulation.server.isBusy = aNow >= kBegin + seconds(2) && aNow < kBegin + seconds(4);
+      lowest = std::min(lowest, simulation.server.admission.Limit());
+      atEnd = aNow < kBegin + milliseconds(4500)
+                ? 0
+                : std::max(atEnd, simulation.server.admission.Limit());
     };
     simulation.Run(arrivals);
     CPPUNIT_ASSERT_EQUAL(1U, lowest);
@@ -425,23 +424,22 @@
     std::mt19937 random(4);
     const auto arrivals = MakeArrivals(MixedLoad(0.6, seconds(12)), random);
     AdmissionSimulation simulation(kSlots);
-    simulation.slownessAt = [](Instant aNow) {
-      return aNow >= kBegin + seconds(2) && aNow < kBegin + seconds(6) ? 5.0 : 1.0;
-    };
     unsigned lowest = kSlots;
     Duration slowRead{ 0 };
-    simulation.onStep = [&](Instant aNow) {
-      lowest = std::min(lowest, simulation.admission.Limit());
+    simulation.onEvent = [&](Instant aNow) {
+      const bool isSlow = aNow >= kBegin + seconds(2) && aNow < kBegin + seconds(6);
+      simulation.server.slowness = isSlow ? 5 : 1;
+      lowest = std::min(lowest, simulation.server.admission.Limit());
       if (aNow < kBegin + seconds(6)) {
-        slowRead = simulation.admission.ExpectedTime(WorkKind::Read);
+        slowRead = simulation.server.admission.ExpectedTime(WorkKind::Read);
       }
     };
     simulation.Run(arrivals);
     CPPUNIT_ASSERT(lowest < kSlots && lowest >= kSlots / 2);
     Section("the estimate follows, and so the limit grows again", [&] {
       CPPUNIT_ASSERT(slowRead >= milliseconds(60));
-      CPPUNIT_ASSERT(simulation.admission.ExpectedTime(WorkKind::Read) <= milliseconds(35));
-      CPPUNIT_ASSERT_EQUAL(kSlots + 1, simulation.admission.Limit());
+      CPPUNIT_ASSERT(simulation.server.admission.ExpectedTime(WorkKind::Read) <= milliseconds(35));
+      CPPUNIT_ASSERT_EQUAL(kSlots + 1, simulation.server.admission.Limit());
     });
   }
 
