--- a/packages/proxy/admission/ServerAdmission.h
+++ b/packages/proxy/admission/ServerAdmission.h
@@ -89,7 +89,7 @@
   /** Expected time of the server for a kind of work, without waits. */
   Duration ExpectedTime(WorkKind aKind) const { return this->estimate.Expected(aKind); }
 
-  /** Load to report to other VMs. ServerLoad::ejectedFor is left to the caller. */
+  /** Load to report to other VMs. What OutlierDetector knows is left to the caller. */
   ServerLoad Load(Instant aNow) const;
 
   /** Waiting requests in the order in which they start if nothing else arrives. For status and
--- a/packages/proxy/admission/ServerLoad.h
+++ b/packages/proxy/admission/ServerLoad.h
@@ -23,6 +23,8 @@
   Duration readTime{ 0 };
   /** For how long reads should still avoid the server (OutlierDetector); zero if it is in use. */
   Duration ejectedFor{ 0 };
+  /** A small part of the reads may test the server although ejectedFor is not zero. */
+  bool isProbed = false;
 
   /** Expected wait of a statement of a priority. */
   Duration ExpectedWait(unsigned aPriority) const
--- a/packages/proxy/retry/RetryBudget.cpp
+++ b/packages/proxy/retry/RetryBudget.cpp
@@ -5,53 +5,67 @@
 
 namespace mustardshift::proxy {
 
+namespace {
+
+/** Instant of the next attempt. A server that has no wait and was not tried yet is asked at once.
+ */
+Instant NextAttempt(Instant aNow, const RetryRequest& aRequest)
+{
+  const Duration least = aRequest.isSameServer ? RetryBudget::kMinDelay : Duration::zero();
+  const auto longest = static_cast<double>(std::max(least, aRequest.expectedWait).count());
+  const double part = 0.5 + 0.5 * std::clamp(aRequest.draw, 0.0, 1.0);
+  return aNow + Duration(static_cast<Duration::rep>(longest * part));
+}
+
+} // namespace
+
 void RetryBudget::RecordSuccess(Instant aNow)
 {
-  this->earned = this->DecayedTokens(aNow) + kFraction;
-  this->floorTokens = this->FloorTokens(aNow);
-  this->changedAt = aNow;
+  this->Advance(aNow);
+  this->earned += kFraction;
 }
 
 std::optional<Instant> RetryBudget::Plan(Instant aNow, const RetryRequest& aRequest)
 {
-  const bool isKnownFull =
-    aRequest.wasRejectedAsBusy && aNow + aRequest.expectedWait > aRequest.startBy;
-  if (aRequest.attempts >= kMaxAttempts || isKnownFull) {
+  const bool isKnownFull = aNow + aRequest.expectedWait > aRequest.startBy;
+  const Instant next = NextAttempt(aNow, aRequest);
+  if (aRequest.attempts >= kMaxAttempts || next > aRequest.startBy ||
+      (aRequest.wasRejectedAsBusy && isKnownFull)) {
     return std::nullopt;
   }
-  const bool mustWait = aRequest.isSameServer || aRequest.expectedWait > Duration::zero();
-  const Duration longest = std::max(kMinDelay, aRequest.expectedWait);
-  const auto spread = Duration(static_cast<Duration::rep>(
-    static_cast<double>(longest.count()) * (0.5 + 0.5 * std::clamp(aRequest.draw, 0.0, 1.0))));
-  const Instant next = mustWait ? aNow + spread : aNow;
-  if (next > aRequest.startBy || this->Available(aNow) < 1) {
+  this->Advance(aNow);
+  double& account = this->earned >= 1 ? this->earned : this->floor;
+  if (account < 1) {
     return std::nullopt;
   }
-  this->earned = this->DecayedTokens(aNow);
-  this->floorTokens = this->FloorTokens(aNow);
-  this->changedAt = aNow;
-  double& account = this->earned >= 1 ? this->earned : this->floorTokens;
   account -= 1;
   return next;
 }
 
 double RetryBudget::Available(Instant aNow) const
 {
-  return this->DecayedTokens(aNow) + this->FloorTokens(aNow);
+  return std::floor(this->EarnedAt(aNow)) + std::floor(this->FloorAt(aNow));
+}
+
+void RetryBudget::Advance(Instant aNow)
+{
+  this->earned = this->EarnedAt(aNow);
+  this->floor = this->FloorAt(aNow);
+  this->changedAt = std::max(this->changedAt, aNow);
 }
 
-double RetryBudget::DecayedTokens(Instant aNow) const
+double RetryBudget::EarnedAt(Instant aNow) const
 {
-  const double elapsed =
-    std::chrono::duration<double>(aNow - this->changedAt) / std::chrono::duration<double>(kMemory);
-  return this->earned * std::exp(-std::max(0.0, elapsed));
+  const Duration elapsed = std::max(Duration::zero(), aNow - this->changedAt);
+  return this->earned *
+         std::exp(-std::chrono::duration<double>(elapsed) / std::chrono::duration<double>(kMemory));
 }
 
-double RetryBudget::FloorTokens(Instant aNow) const
+double RetryBudget::FloorAt(Instant aNow) const
 {
-  const double elapsed =
-    std::chrono::duration<double>(std::max(Duration::zero(), aNow - this->changedAt)).count();
-  return std::min(kFloorBurst, this->floorTokens + kFloorPerSecond * elapsed);
+  const Duration elapsed = std::max(Duration::zero(), aNow - this->changedAt);
+  return std::min(kFloorBurst,
+                  this->floor + kFloorPerSecond * std::chrono::duration<double>(elapsed).count());
 }
 
 } // namespace mustardshift::proxy
--- a/packages/proxy/retry/RetryBudget.h
+++ b/packages/proxy/retry/RetryBudget.h
@@ -16,7 +16,7 @@
 public:
   /** Retries for each statement that succeeded lately. */
   static constexpr double kFraction = 0.1;
-  /** Successes count for about this long. */
+  /** A success counts with a weight of 1/e after this time. */
   static constexpr Duration kMemory = std::chrono::seconds(10);
   /** Retries per second without any success, so that a VM with few statements retries after a
       single fault. */
@@ -30,20 +30,23 @@
 
   void RecordSuccess(Instant aNow);
 
-  /** Decides whether a statement that has not run is tried again, and takes the retry from the
-      budget. Returns the instant of the next attempt; nothing if attempts, time or budget have
-      ended, or if the next server would refuse it. */
+  /** Decides whether a statement that has not run is tried again, and if so takes the retry from
+     the budget. Returns the instant of the next attempt; nothing if attempts, time or budget have
+      ended, or if a server that is known to be full would be next for what another rejected as
+      busy. The delay before an attempt is half to all of the expected wait of the server.
+      Precondition: the statement has not run, or is a read. */
   std::optional<Instant> Plan(Instant aNow, const RetryRequest& aRequest);
 
-  /** Retries that the budget would allow now. */
+  /** Number of retries that the budget allows now. */
   double Available(Instant aNow) const;
 
 private:
-  double DecayedTokens(Instant aNow) const;
-  double FloorTokens(Instant aNow) const;
+  void Advance(Instant aNow);
+  double EarnedAt(Instant aNow) const;
+  double FloorAt(Instant aNow) const;
 
   double earned = 0;
-  double floorTokens = kFloorBurst;
+  double floor = kFloorBurst;
   Instant changedAt{};
 };
 
--- a/packages/proxy/routing/RankedCandidate.h
+++ b/packages/proxy/routing/RankedCandidate.h
@@ -14,6 +14,8 @@
   double costMs = 0;
   bool isHome = false;
   bool isEjected = false;
+  /** A small part of the statements tests it although it is ejected. */
+  bool isProbed = false;
 };
 
 } // namespace mustardshift::proxy
--- a/packages/proxy/routing/SelectionReason.h
+++ b/packages/proxy/routing/SelectionReason.h
@@ -21,9 +21,11 @@
   Load,
   /** The statement can't start in time at the server that came first. */
   TimeLeft,
+  /** The statement tests a server that is ejected. */
+  Probe,
 };
 
-inline constexpr std::array<std::pair<SelectionReason, std::string_view>, 6> kSelectionReasonNames{
+inline constexpr std::array<std::pair<SelectionReason, std::string_view>, 7> kSelectionReasonNames{
   {
     { SelectionReason::Only, "only" },
     { SelectionReason::OwnDomain, "own-domain" },
@@ -31,6 +33,7 @@
     { SelectionReason::NoOwnServer, "no-own-server" },
     { SelectionReason::Load, "load" },
     { SelectionReason::TimeLeft, "time-left" },
+    { SelectionReason::Probe, "probe" },
   }
 };
 
--- a/packages/proxy/routing/ServerSelector.cpp
+++ b/packages/proxy/routing/ServerSelector.cpp
@@ -25,6 +25,9 @@
 /** A server that wasn't drawn is used for lack of time only if its wait is at most this part of the
     time left: many VMs see the same report, and what one of them sends makes the others wait. */
 constexpr double kSurelyInTime = 0.5;
+/** Part of the statements that test a server while it is probed: enough for three probes within
+    0.3 s at 500 statements/s of a group, and hardly noticed if they fail. */
+constexpr double kProbeShare = 0.02;
 /** Smallest unit of the costs. */
 constexpr double kMinCostUnitMs = 1;
 /** Number of shares above which unused ones are forgotten. */
@@ -110,17 +113,9 @@
   MUSTARDSHIFT_ASSERT(!aRequest.candidates.empty());
   Ranked ranked = this->Judge(aNow, aRequest);
   const Home home = this->MarkHome(aRequest, ranked);
-  const double leaving =
-    this->ShareFor(aNow, { aRequest.group, home.affinity }).Update(aNow, this->TargetShare(ranked));
-  const bool leaves = aRequest.draw < leaving;
-  const double draw = leaves ? aRequest.draw / leaving : (aRequest.draw - leaving) / (1 - leaving);
-  const std::size_t drawn = this->Draw(ranked, !leaves, draw);
-  const std::size_t first = FirstInTime(ranked, drawn, ToMilliseconds(aRequest.timeLeft));
+  const auto [first, reason] = this->ChooseFirst(aNow, aRequest, home, ranked);
   SelectionResult result;
-  result.reason = ranked.size() == 1 ? SelectionReason::Only
-                  : first != drawn   ? SelectionReason::TimeLeft
-                  : leaves           ? SelectionReason::Load
-                                     : home.reason;
+  result.reason = ranked.size() == 1 ? SelectionReason::Only : reason;
   result.crossesDomains = ranked[first].candidate->domain != this->options.ownDomain;
   std::swap(ranked[0], ranked[first]);
   std::stable_sort(ranked.begin() + 1, ranked.end(), [](const auto& aOne, const auto& aOther) {
@@ -132,6 +127,34 @@
   return result;
 }
 
+/** Returns the index of the server to try first, and why. */
+std::pair<std::size_t, SelectionReason> ServerSelector::ChooseFirst(
+  Instant aNow,
+  const SelectionRequest& aRequest,
+  const Home& aHome,
+  const Ranked& aRanked)
+{
+  const double leaving = this->ShareFor(aNow, { aRequest.group, aHome.affinity })
+                           .Update(aNow, this->TargetShare(aRanked));
+  if (aRequest.draw < kProbeShare) {
+    const auto probed =
+      std::find_if(aRanked.begin(), aRanked.end(), [](const RankedCandidate& aCandidate) {
+        return aCandidate.isEjected && aCandidate.isProbed;
+      });
+    if (probed != aRanked.end()) {
+      return { static_cast<std::size_t>(probed - aRanked.begin()), SelectionReason::Probe };
+    }
+  }
+  const bool leaves = aRequest.draw < leaving;
+  const double draw = leaves ? aRequest.draw / leaving : (aRequest.draw - leaving) / (1 - leaving);
+  const std::size_t drawn = this->Draw(aRanked, !leaves, draw);
+  const std::size_t first = FirstInTime(aRanked, drawn, ToMilliseconds(aRequest.timeLeft));
+  if (first != drawn) {
+    return { first, SelectionReason::TimeLeft };
+  }
+  return { first, leaves ? SelectionReason::Load : aHome.reason };
+}
+
 double ServerSelector::LeavingShareOf(const DatabaseName& aGroup) const
 {
   const auto share = this->shares.find({ aGroup, ServerId() });
@@ -160,7 +183,7 @@
       utilisationSum += *utilisation;
       ++knownCount;
     }
-    ranked.push_back({ &candidate, startMs, costMs, false, false });
+    ranked.push_back({ &candidate, startMs, costMs, false, false, load.isProbed });
   }
   std::sort(ejections.rbegin(), ejections.rend());
   LimitEjections(ranked, ejections);
--- a/packages/proxy/routing/ServerSelector.h
+++ b/packages/proxy/routing/ServerSelector.h
@@ -26,7 +26,8 @@
    to a hundred VMs see the same reports and would otherwise move together.
 
     A server that its gateway reports as ejected is left out, unless all are, but at most half of
-   the replicas at once; the only candidate is always returned.
+   the replicas at once; while it is probed, a few statements go there. The only candidate is always
+    returned.
 
     Thread safety: none; one thread owns the object. */
 class ServerSelector
@@ -65,6 +66,10 @@
   Ranked Judge(Instant aNow, const SelectionRequest& aRequest) const;
   void AddImbalance(Instant aNow, double aAverageUtilisation, Ranked& aRanked) const;
   Home MarkHome(const SelectionRequest& aRequest, Ranked& aRanked) const;
+  std::pair<std::size_t, SelectionReason> ChooseFirst(Instant aNow,
+                                                      const SelectionRequest& aRequest,
+                                                      const Home& aHome,
+                                                      const Ranked& aRanked);
   bool HasLittleDemand(const SelectionRequest& aRequest) const;
   double TargetShare(const Ranked& aRanked) const;
   LeavingShare& ShareFor(Instant aNow, const HomeKey& aKey);
