--- a/packages/proxy/ProxySettings.h
+++ b/packages/proxy/ProxySettings.h
@@ -40,6 +40,8 @@
   Duration maxRouteStaleness = std::chrono::seconds(5);
   RateTolerance rateTolerance;
   SessionLimits sessionLimits;
+  /** VMs that may be attached to this one at the same time. */
+  std::size_t maxAttachedVms = 2000;
 };
 
 } // namespace mustardshift::proxy
--- a/packages/proxy/SessionProxy.h
+++ b/packages/proxy/SessionProxy.h
@@ -201,6 +201,13 @@
       this->context, std::move(aDatabase), std::move(aKeyHash));
   }
 
+  /** Sets where limits that are reached are counted. aReporter has to outlive the proxy. */
+  void SetLimitReporter(LimitReporter& aReporter)
+  {
+    this->context.limitReporter = &aReporter;
+    this->attachment.SetLimits(this->settings.maxAttachedVms, &aReporter);
+  }
+
   /** Refuses new sessions and statements from now on, because the process exits soon. */
   void RefuseStatements() { this->context.isStopping = true; }
 
--- a/packages/proxy/coordination/AttachmentExchange.h
+++ b/packages/proxy/coordination/AttachmentExchange.h
@@ -8,11 +8,14 @@
 #include "proxy/coordination/FleetView.h"
 #include "proxy/coordination/StableHash.h"
 #include "proxy/coordination/TableCopy.h"
+#include "proxy/limits/LimitReporter.h"
 #include "proxy/rate/PeerMessenger.h"
 
 #include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <map>
 #include <optional>
 #include <string>
@@ -105,6 +108,14 @@
   AttachmentExchange& operator=(const AttachmentExchange&) = delete;
   ~AttachmentExchange() = default;
 
+  /** Limits the number of VMs that may be attached to this member. A request of a further one is
+     not answered, so that it asks another member. aReporter may be null. */
+  void SetLimits(std::size_t aMaxAttachedVms, LimitReporter* aReporter)
+  {
+    this->maxAttachedVms = aMaxAttachedVms;
+    this->limitReporter = aReporter;
+  }
+
   /** Sets the role of this VM. */
   void SetRole(Instant aNow, FleetRole aRole)
   {
@@ -263,6 +274,14 @@
     if (this->isAttached || this->operators.Version() == 0 || !this->fleet.IsLive(this->self)) {
       return;
     }
+    if (this->attachedVms.size() >= this->maxAttachedVms &&
+        !this->attachedVms.contains(aRequest.sender)) {
+      if (this->limitReporter != nullptr) {
+        this->limitReporter->Report(
+          aNow, LimitKind::AttachedVms, this->attachedVms.size(), this->maxAttachedVms);
+      }
+      return;
+    }
     this->attachedVms[aRequest.sender] = { aRequest.replyAddress, aNow };
     this->Send(aRequest.replyAddress,
                AttachmentAnswer{ aRequest.incarnation,
@@ -333,6 +352,8 @@
   bool isAttached = false;
   /** VMs that are attached to this member. */
   std::map<VmId, AttachedVm> attachedVms;
+  std::size_t maxAttachedVms = std::numeric_limits<std::size_t>::max();
+  LimitReporter* limitReporter = nullptr;
   Instant invitedAt{};
   std::uint64_t lastNumber = 0;
   /** Number of the unanswered request, or zero if there is none. */
--- a/packages/proxy/pool/CommandSequence.h
+++ b/packages/proxy/pool/CommandSequence.h
@@ -72,7 +72,7 @@
   void OnReply(Instant aNow, ServerReply aReply)
   {
     const ServerCommand& command = this->commands[this->next];
-    if (aReply.status == ReplyStatus::Lost) {
+    if (aReply.status == ReplyStatus::Lost && !aReply.isTooLarge) {
       this->health->RecordAttemptFailure(this->connection->server, this->result.sentAt);
     } else {
       this->health->RecordReply(this->connection->server, aNow);
--- a/packages/proxy/pool/PooledConnection.h
+++ b/packages/proxy/pool/PooledConnection.h
@@ -5,6 +5,7 @@
 #include "proxy/cluster/ServerRecord.h"
 #include "proxy/pool/DatabaseNetwork.h"
 
+#include <cstddef>
 #include <map>
 #include <memory>
 #include <set>
@@ -34,6 +35,25 @@
   /** The link was lost while a caller held the connection and no command was running. */
   bool isBroken = false;
   Instant idleSince{};
+
+  /** Most bytes of variables, and most prepared names, that an idle connection remembers. Sessions
+      with a few values and some hundred statements stay below. */
+  static constexpr std::size_t kMaxVariableBytes = 65'536;
+  static constexpr std::size_t kMaxPreparedNames = 1000;
+
+  /** Makes the next session reset the connection if it remembers too much, and forgets it. */
+  void ForgetLargeState()
+  {
+    std::size_t bytes = 0;
+    for (const auto& [name, value] : this->variables) {
+      bytes += name.size() + value.size();
+    }
+    if (bytes > kMaxVariableBytes || this->preparedNames.size() > kMaxPreparedNames) {
+      // No session has a variable without a name, so MakeSetupCommands() begins with a reset.
+      this->variables = { { std::string(), std::string() } };
+      this->preparedNames.clear();
+    }
+  }
 };
 
 } // namespace mustardshift::proxy
--- a/packages/proxy/pool/ServerPool.h
+++ b/packages/proxy/pool/ServerPool.h
@@ -103,6 +103,7 @@
   {
     aConnection->isBusy = false;
     aConnection->idleSince = aNow;
+    aConnection->ForgetLargeState();
     if (!this->MayKeep(*aConnection)) {
       this->Remove(aConnection);
     }
--- a/packages/proxy/session/ClientSession.h
+++ b/packages/proxy/session/ClientSession.h
@@ -86,6 +86,10 @@
     switch (this->activeStatement->statement.kind) {
       case StatementKind::SetVariable:
       case StatementKind::Prepare:
+        if (this->RefuseLargeState(aNow)) {
+          return;
+        }
+        [[fallthrough]];
       case StatementKind::Deallocate:
         this->state.Apply(this->activeStatement->statement);
         this->ReplyDone(aNow);
@@ -131,12 +135,35 @@
   }
 
   /** Ends the running statement, if there is one, with the answer that it would get at its time
-      limit. */
-  void AnswerRunningStatement(Instant aNow)
+      limit.
+      @param aWhy  message of the answer; a literal. */
+  void AnswerRunningStatement(Instant aNow, const char* aWhy = kStopping)
   {
     if (this->activeStatement && !this->hasEnded) {
-      this->AbandonStatement(aNow, kStopping, kStopping);
+      this->AbandonStatement(aNow, aWhy, aWhy);
+    }
+  }
+
+  /** Bytes that the session holds: its variables and prepared statements, the running statement,
+      and what the server connection that it uses remembers of them. */
+  std::size_t HeldBytes() const
+  {
+    std::size_t bytes = this->state.Size();
+    if (this->activeStatement) {
+      bytes += BytesOfStatement(this->activeStatement->statement.text.size());
+    }
+    if (this->connection != nullptr) {
+      bytes +=
+        this->BytesOnConnection() + this->connection->preparedNames.size() * kBytesPerPreparedName;
     }
+    return bytes;
+  }
+
+  /** Bytes that the session will hold, beyond HeldBytes(), while it runs a statement.
+      @param aSize  size of the client's message */
+  std::size_t BytesToRun(std::size_t aSize) const
+  {
+    return BytesOfStatement(aSize) + (this->connection == nullptr ? this->BytesOnConnection() : 0);
   }
 
   bool IsRunning() const { return this->activeStatement.has_value(); }
@@ -167,6 +194,30 @@
   };
 
   static constexpr const char* kStopping = "this VM is stopping";
+  /** A name of 67 bytes in a node of a set. */
+  static constexpr std::size_t kBytesPerPreparedName = 160;
+
+  /** A statement is kept whole, by its parts, and as the command that is sent. */
+  static std::size_t BytesOfStatement(std::size_t aSize) { return 3 * aSize; }
+
+  /** The session variables as commands, and as the connection's copy. */
+  std::size_t BytesOnConnection() const { return 2 * this->state.VariablesSize(); }
+
+  /** Refuses a statement that would make the session's variables and prepared statements too large.
+      Returns whether it did. */
+  bool RefuseLargeState(Instant aNow)
+  {
+    const std::size_t size = this->state.SizeAfter(this->activeStatement->statement);
+    const std::size_t bound = this->context.sessionLimits.sessionStateBytes;
+    if (size <= bound) {
+      return false;
+    }
+    if (this->context.limitReporter != nullptr) {
+      this->context.limitReporter->Report(aNow, LimitKind::SessionState, size, bound);
+    }
+    this->ReplyError(aNow, ErrorCode::Busy, "the session holds too many values and names");
+    return true;
+  }
   static constexpr const char* kNotAllowed = "the configuration in force doesn't allow it";
 
   static std::string NameText(ErrorCode aCode)
@@ -593,7 +644,7 @@
         this->OnRefused(aNow, aResult);
         return;
       case ReplyStatus::Lost:
-        this->OnLost(aNow);
+        this->OnLost(aNow, aResult.reply.isTooLarge);
         return;
     }
   }
@@ -714,7 +765,7 @@
       aNow, aHasNotRun ? ErrorCode::Aborted : aReply.error, "the server refused the statement");
   }
 
-  void OnLost(Instant aNow)
+  void OnLost(Instant aNow, bool aIsTooLarge)
   {
     const bool mayHaveCommitted = this->MayCommit();
     this->CloseStatementConnection(aNow);
@@ -722,6 +773,11 @@
       this->FailInDoubt(aNow);
       return;
     }
+    if (aIsTooLarge) {
+      // Another server would send the same rows.
+      this->Fail(aNow, ErrorCode::Failed, "the result is larger than this VM can hold");
+      return;
+    }
     if (this->transaction == Transaction::Open) {
       this->FailTransaction(aNow, ErrorCode::Aborted, "the server connection was lost");
       return;
--- a/packages/proxy/session/SessionContext.h
+++ b/packages/proxy/session/SessionContext.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "proxy/cluster/ClusterState.h"
+#include "proxy/limits/LimitReporter.h"
 #include "proxy/log/EventLog.h"
 #include "proxy/pool/ServerHealth.h"
 #include "proxy/pool/ServerPool.h"
@@ -38,6 +39,8 @@
   std::function<void(const StatementOutcome&)> onStatementEnd;
   /** The process exits soon: new sessions and statements are refused. */
   bool isStopping = false;
+  /** Counts the limits that sessions reach; may be null. */
+  LimitReporter* limitReporter = nullptr;
 };
 
 } // namespace mustardshift::proxy
--- a/packages/proxy/session/SessionLimits.h
+++ b/packages/proxy/session/SessionLimits.h
@@ -2,6 +2,8 @@
 
 #include "core/base/Instant.h"
 
+#include <cstddef>
+
 namespace mustardshift::proxy {
 
 /** Time limits and retry limits of sessions. */
@@ -21,6 +23,8 @@
   Duration drainingPrimaryGrace = std::chrono::milliseconds(3500);
   /** Maximum number of attempts to run one statement. */
   unsigned maxAttempts = 5;
+  /** Most bytes of session variables and prepared statements in one session. */
+  std::size_t sessionStateBytes = std::size_t(4) << 20;
 };
 
 } // namespace mustardshift::proxy
--- a/packages/proxy/session/SessionState.cpp
+++ b/packages/proxy/session/SessionState.cpp
@@ -4,8 +4,41 @@
 
 namespace mustardshift::proxy {
 
+std::size_t SessionState::VariableSize(const std::string& aName) const
+{
+  const auto found = this->variables.find(aName);
+  return found == this->variables.end() ? 0
+                                        : kEntryCost + found->first.size() + found->second.size();
+}
+
+std::size_t SessionState::PreparedSize(const std::string& aName) const
+{
+  const auto found = this->preparedStatements.find(aName);
+  return found == this->preparedStatements.end()
+           ? 0
+           : kEntryCost + found->first.size() + found->second.text.size();
+}
+
+std::size_t SessionState::SizeAfter(const Statement& aStatement) const
+{
+  const std::size_t added = kEntryCost + aStatement.name.size() + aStatement.body.size();
+  switch (aStatement.kind) {
+    case StatementKind::SetVariable:
+      return this->size - this->VariableSize(aStatement.name) + added;
+    case StatementKind::Prepare:
+      return this->size - this->PreparedSize(aStatement.name) + added;
+    default:
+      return this->size - this->PreparedSize(aStatement.name);
+  }
+}
+
 void SessionState::Apply(const Statement& aStatement)
 {
+  this->size = this->SizeAfter(aStatement);
+  if (aStatement.kind == StatementKind::SetVariable) {
+    this->variablesSize += kEntryCost + aStatement.name.size() + aStatement.body.size() -
+                           this->VariableSize(aStatement.name);
+  }
   switch (aStatement.kind) {
     case StatementKind::SetVariable:
       this->variables[aStatement.name] = aStatement.body;
--- a/packages/proxy/statement/ServerReply.h
+++ b/packages/proxy/statement/ServerReply.h
@@ -25,6 +25,8 @@
 struct ServerReply
 {
   ReplyStatus status = ReplyStatus::Lost;
+  /** The answer was given up because it was larger than this VM can hold; its status is Lost. */
+  bool isTooLarge = false;
   std::vector<std::string> rows;
   /** The server's proof that it ran the statement. */
   std::string signature;
