Settings for the limits of clients and ports

Each limit has an optional setting with its unit and a default. The count of defaulted settings in SessionSettingsTest grows from 18 to 31, by the 13 new settings; ReadsClientLimits reads each and checks the bounds.

--- a/packages/adapters/settings/SessionSettings.h
+++ b/packages/adapters/settings/SessionSettings.h
@@ -4,6 +4,7 @@
 #include "core/base/Names.h"
 
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -63,6 +64,34 @@
   /** File descriptors that the process may open; the default is the usual limit of a process. */
   std::size_t descriptorLimit = 1024;
 
+  /** Time from a client's connection to its START. */
+  Duration clientStartTimeout = std::chrono::seconds(10);
+  /** Longest time for a line of a client, from its first byte to its end. */
+  Duration clientLineTimeout = std::chrono::seconds(30);
+  /** Longest time in which a client takes an answer. */
+  Duration clientAnswerTimeout = std::chrono::seconds(120);
+  /** For this long, a line or an answer may have any rate; then at least clientMinRateKb. */
+  Duration clientProgressGrace = std::chrono::seconds(5);
+  /** KiB per second. */
+  std::size_t clientMinRateKb = 4;
+  /** Session variables and prepared statements of one session, in KiB. */
+  std::size_t sessionStateLimitKb = 4096;
+  /** Rows of one result, in MiB. */
+  std::size_t resultLimitMb = 16;
+  /** Descriptors that clients may not use; by default derived from descriptorLimit. */
+  std::optional<std::size_t> descriptorReserve;
+  /** Connections to each of the addresses for readiness and metrics; by default derived from
+      descriptorLimit. */
+  std::optional<std::size_t> httpConnectionLimit;
+  /** Connections of other VMs to the peer address; by default derived from descriptorLimit. */
+  std::optional<std::size_t> peerConnectionLimit;
+  /** Time for a request to one of these addresses, and for taking its answer. */
+  Duration httpRequestTimeout = std::chrono::seconds(10);
+  /** Time without a request after which a connection to one of them is closed. */
+  Duration httpIdleTimeout = std::chrono::seconds(75);
+  /** VMs that may be attached to this one if it is a member. */
+  std::size_t attachedVmLimit = 2000;
+
   /** Optional settings that were not given. */
   std::vector<DefaultedSetting> defaulted;
 
--- a/packages/adapters/settings/SessionSettingsReader.cpp
+++ b/packages/adapters/settings/SessionSettingsReader.cpp
@@ -29,15 +29,50 @@
 constexpr double kMaxMemoryLimitMb = 1 << 20;
 constexpr std::uint64_t kMinDescriptorLimit = 64;
 constexpr std::uint64_t kMaxDescriptorLimit = std::uint64_t(1) << 20;
+/** KiB per second. */
+constexpr std::uint64_t kMaxClientRateKb = 1 << 20;
+/** A message of 1 MiB can set one variable. */
+constexpr std::uint64_t kMinSessionStateKb = 1025;
+constexpr std::uint64_t kMaxSessionStateKb = 1 << 20;
+/** A result can be one row of 1 MiB. */
+constexpr std::uint64_t kMinResultMb = 2;
+constexpr std::uint64_t kMaxResultMb = 1 << 10;
+constexpr std::uint64_t kMinDescriptorReserve = 16;
+constexpr std::uint64_t kMinHttpConnections = 2;
+constexpr std::uint64_t kMaxAttachedVms = 100'000;
 
 const std::vector<std::string_view> kRequiredKeys{ "vm", "sessions_address", "store_address" };
-const std::vector<std::string_view> kOptionalKeys{
-  "failure_domain",   "failure_domains", "processor_share", "readiness_address",
-  "peer_address",     "metrics_address", "orders_address",  "withdrawn_key_bound",
-  "evacuation_bound", "shutdown_grace",  "rate_window",     "rate_overshoot",
-  "rate_slack",       "usage_window",    "usage_deadline",  "usage_tolerance",
-  "memory_limit_mb",  "descriptor_limit"
-};
+const std::vector<std::string_view> kOptionalKeys{ "failure_domain",
+                                                   "failure_domains",
+                                                   "processor_share",
+                                                   "readiness_address",
+                                                   "peer_address",
+                                                   "metrics_address",
+                                                   "orders_address",
+                                                   "withdrawn_key_bound",
+                                                   "evacuation_bound",
+                                                   "shutdown_grace",
+                                                   "rate_window",
+                                                   "rate_overshoot",
+                                                   "rate_slack",
+                                                   "usage_window",
+                                                   "usage_deadline",
+                                                   "usage_tolerance",
+                                                   "memory_limit_mb",
+                                                   "descriptor_limit",
+                                                   "client_start_timeout",
+                                                   "client_line_timeout",
+                                                   "client_answer_timeout",
+                                                   "client_progress_grace",
+                                                   "client_min_rate_kb",
+                                                   "session_state_limit_kb",
+                                                   "result_limit_mb",
+                                                   "descriptor_reserve",
+                                                   "http_connection_limit",
+                                                   "peer_connection_limit",
+                                                   "http_request_timeout",
+                                                   "http_idle_timeout",
+                                                   "attached_vm_limit" };
 
 std::vector<std::string_view> AllKeys()
 {
@@ -100,11 +135,66 @@
     { "usage_tolerance", FormatNumber(aSettings.usageTolerance) },
     { "memory_limit_mb", std::to_string(aSettings.memoryLimitMb) },
     { "descriptor_limit", std::to_string(aSettings.descriptorLimit) },
+    { "client_start_timeout", FormatSpan(aSettings.clientStartTimeout) },
+    { "client_line_timeout", FormatSpan(aSettings.clientLineTimeout) },
+    { "client_answer_timeout", FormatSpan(aSettings.clientAnswerTimeout) },
+    { "client_progress_grace", FormatSpan(aSettings.clientProgressGrace) },
+    { "client_min_rate_kb", std::to_string(aSettings.clientMinRateKb) },
+    { "session_state_limit_kb", std::to_string(aSettings.sessionStateLimitKb) },
+    { "result_limit_mb", std::to_string(aSettings.resultLimitMb) },
+    { "descriptor_reserve", "derived" },
+    { "http_connection_limit", "derived" },
+    { "peer_connection_limit", "derived" },
+    { "http_request_timeout", FormatSpan(aSettings.httpRequestTimeout) },
+    { "http_idle_timeout", FormatSpan(aSettings.httpIdleTimeout) },
+    { "attached_vm_limit", std::to_string(aSettings.attachedVmLimit) },
   };
   const auto value = values.find(aKey);
   return value == values.end() ? "none" : value->second;
 }
 
+void ReadClientLimits(YamlMap& aTop, SessionSettings& aSettings)
+{
+  aSettings.clientStartTimeout =
+    aTop.Span("client_start_timeout", seconds(1), kGreatestBound, aSettings.clientStartTimeout);
+  aSettings.clientLineTimeout =
+    aTop.Span("client_line_timeout", seconds(1), kGreatestBound, aSettings.clientLineTimeout);
+  aSettings.clientAnswerTimeout =
+    aTop.Span("client_answer_timeout", seconds(1), kGreatestBound, aSettings.clientAnswerTimeout);
+  aSettings.clientProgressGrace =
+    aTop.Span("client_progress_grace", seconds(1), kGreatestBound, aSettings.clientProgressGrace);
+  aSettings.clientMinRateKb =
+    aTop.Integer("client_min_rate_kb", 1, kMaxClientRateKb, aSettings.clientMinRateKb);
+  aSettings.sessionStateLimitKb = aTop.Integer("session_state_limit_kb",
+                                               kMinSessionStateKb,
+                                               kMaxSessionStateKb,
+                                               aSettings.sessionStateLimitKb);
+  aSettings.resultLimitMb =
+    aTop.Integer("result_limit_mb", kMinResultMb, kMaxResultMb, aSettings.resultLimitMb);
+}
+
+void ReadPortLimits(YamlMap& aTop, SessionSettings& aSettings)
+{
+  if (aTop.Has("descriptor_reserve")) {
+    aSettings.descriptorReserve =
+      aTop.Integer("descriptor_reserve", kMinDescriptorReserve, kMaxDescriptorLimit, 0);
+  }
+  if (aTop.Has("http_connection_limit")) {
+    aSettings.httpConnectionLimit =
+      aTop.Integer("http_connection_limit", kMinHttpConnections, kMaxDescriptorLimit, 0);
+  }
+  if (aTop.Has("peer_connection_limit")) {
+    aSettings.peerConnectionLimit =
+      aTop.Integer("peer_connection_limit", kMinHttpConnections, kMaxDescriptorLimit, 0);
+  }
+  aSettings.httpRequestTimeout =
+    aTop.Span("http_request_timeout", seconds(1), kGreatestBound, aSettings.httpRequestTimeout);
+  aSettings.httpIdleTimeout =
+    aTop.Span("http_idle_timeout", seconds(1), kGreatestBound, aSettings.httpIdleTimeout);
+  aSettings.attachedVmLimit =
+    aTop.Integer("attached_vm_limit", 1, kMaxAttachedVms, aSettings.attachedVmLimit);
+}
+
 } // namespace
 
 tl::expected<SessionSettings, InputErrors> SessionSettingsReader::ReadFile(
@@ -172,6 +262,8 @@
   }
   settings.descriptorLimit = top.Integer(
     "descriptor_limit", kMinDescriptorLimit, kMaxDescriptorLimit, settings.descriptorLimit);
+  ReadClientLimits(top, settings);
+  ReadPortLimits(top, settings);
   InputErrors found = errors.Take();
   if (!found.empty()) {
     return tl::unexpected(std::move(found));
--- a/packages/adapters/tests/SessionSettingsTest.cpp
+++ b/packages/adapters/tests/SessionSettingsTest.cpp
@@ -72,6 +72,7 @@
   CPPUNIT_TEST(StartsWithoutOptionalValues);
   CPPUNIT_TEST(TakesSettingsFromTheEnvironment);
   CPPUNIT_TEST(ReadsFractions);
+  CPPUNIT_TEST(ReadsClientLimits);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -94,6 +95,53 @@
     });
   }
 
+  /** Guards against limits that are read in another unit, or that no client could keep to. */
+  void ReadsClientLimits()
+  {
+    const auto settings = SessionSettingsReader{}.ReadText(kGood + "client_start_timeout: 7s\n"
+                                                                   "client_line_timeout: 20s\n"
+                                                                   "client_answer_timeout: 120s\n"
+                                                                   "client_progress_grace: 3s\n"
+                                                                   "client_min_rate_kb: 16\n"
+                                                                   "session_state_limit_kb: 2048\n"
+                                                                   "result_limit_mb: 8\n"
+                                                                   "descriptor_reserve: 300\n"
+                                                                   "http_connection_limit: 20\n"
+                                                                   "peer_connection_limit: 90\n"
+                                                                   "http_request_timeout: 4s\n"
+                                                                   "http_idle_timeout: 30s\n"
+                                                                   "attached_vm_limit: 100\n",
+                                                           "test");
+    CPPUNIT_ASSERT_MESSAGE(settings ? "" : settings.error().front().ToString(),
+                           settings.has_value());
+    CPPUNIT_ASSERT(settings->clientStartTimeout == seconds(7));
+    CPPUNIT_ASSERT(settings->clientLineTimeout == seconds(20));
+    CPPUNIT_ASSERT(settings->clientAnswerTimeout == seconds(120));
+    CPPUNIT_ASSERT(settings->clientProgressGrace == seconds(3));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(16), settings->clientMinRateKb);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2048), settings->sessionStateLimitKb);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(8), settings->resultLimitMb);
+    CPPUNIT_ASSERT(settings->descriptorReserve == std::size_t(300));
+    CPPUNIT_ASSERT(settings->httpConnectionLimit == std::size_t(20));
+    CPPUNIT_ASSERT(settings->peerConnectionLimit == std::size_t(90));
+    CPPUNIT_ASSERT(settings->httpRequestTimeout == seconds(4));
+    CPPUNIT_ASSERT(settings->httpIdleTimeout == seconds(30));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(100), settings->attachedVmLimit);
+    Section("each is checked", [] {
+      for (const char* line : { "client_start_timeout: 10",
+                                "client_line_timeout: 0s",
+                                "client_min_rate_kb: 0",
+                                "session_state_limit_kb: 1024",
+                                "result_limit_mb: 1",
+                                "descriptor_reserve: 1",
+                                "http_connection_limit: 0",
+                                "attached_vm_limit: 0" }) {
+        CPPUNIT_ASSERT_MESSAGE(
+          line, !SessionSettingsReader{}.ReadText(kGood + line + "\n", "test").has_value());
+      }
+    });
+  }
+
   void ReportsFaultsTogether()
   {
     std::string bad = Replaced(kGood, "10.1.0.26:8465", "10.1.0.26");
@@ -153,7 +201,7 @@
       expected.storeAddress = "10.200.1.7:8466";
       expected.defaulted = settings->defaulted;
       CPPUNIT_ASSERT(expected == *settings);
-      CPPUNIT_ASSERT_EQUAL(std::size_t(18), settings->defaulted.size());
+      CPPUNIT_ASSERT_EQUAL(std::size_t(31), settings->defaulted.size());
       const auto named = [&](const std::string& aKey) {
         for (const DefaultedSetting& setting : settings->defaulted) {
           if (setting.key == aKey) {
@@ -166,6 +214,9 @@
       CPPUNIT_ASSERT_EQUAL(std::string("1.0"), named("processor_share"));
       CPPUNIT_ASSERT_EQUAL(std::string("none"), named("orders_address"));
       CPPUNIT_ASSERT_EQUAL(std::string("160"), named("memory_limit_mb"));
+      CPPUNIT_ASSERT_EQUAL(std::string("10s"), named("client_start_timeout"));
+      CPPUNIT_ASSERT_EQUAL(std::string("4096"), named("session_state_limit_kb"));
+      CPPUNIT_ASSERT_EQUAL(std::string("derived"), named("descriptor_reserve"));
     });
     Section("a value that is there and wrong is an error with its line", [&] {
       for (const auto& [name, wrong] : std::map<std::string, std::string>{
