--- a/packages/proxy/limits/MemoryHolder.cpp
+++ b/packages/proxy/limits/MemoryHolder.cpp
@@ -28,15 +28,6 @@
   }
 }
 
-void MemoryHolder::NoteTransfer(Instant aNow, std::size_t aBytes)
-{
-  this->transferred += aBytes;
-  if (this->transferred >= kMinTransfer) {
-    this->transferred = 0;
-    this->progressedAt = aNow;
-  }
-}
-
 bool MemoryHolder::MayRead() const
 {
   return this->budget.MayRead(*this);
--- a/packages/proxy/limits/MemoryHolder.h
+++ b/packages/proxy/limits/MemoryHolder.h
@@ -35,8 +35,18 @@
   void SetHeld(std::size_t aBytes);
   std::size_t Held() const { return this->held; }
 
-  /** Notes that bytes have been read from the peer or written to it. */
-  void NoteTransfer(Instant aNow, std::size_t aBytes);
+  /** Adds bytes that were read from the peer or written to it. Returns whether they are enough to
+      call NoteProgress(). */
+  bool AddTransfer(std::size_t aBytes)
+  {
+    this->transferred += aBytes;
+    return this->transferred >= kMinTransfer;
+  }
+  void NoteProgress(Instant aNow)
+  {
+    this->transferred = 0;
+    this->progressedAt = aNow;
+  }
 
   /** Whether the connection may be read now. */
   bool MayRead() const;
--- a/packages/proxy/tests/LimitsTest.cpp
+++ b/packages/proxy/tests/LimitsTest.cpp
@@ -13,6 +13,7 @@
 #include <memory>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace mustardshift::proxy {
@@ -134,8 +135,11 @@
     Connection active(budget, now - seconds(30), 4 * kMiB);
     Connection stalled(budget, now - seconds(30), 3 * kMiB);
     Connection smaller(budget, now - seconds(30), 2 * kMiB);
-    active.holder->NoteTransfer(now, 16'384);
-    stalled.holder->NoteTransfer(now, 1);
+    for (const auto& [connection, bytes] : { std::pair(&active, 16'384), std::pair(&stalled, 1) }) {
+      if (connection->holder->AddTransfer(static_cast<std::size_t>(bytes))) {
+        connection->holder->NoteProgress(now);
+      }
+    }
     Section("a byte now and then is no progress", [&] {
       active.holder->SetHeld(6 * kMiB);
       budget.Step(now);
