--- a/packages/proxy/tests/LimitsTest.cpp
+++ b/packages/proxy/tests/LimitsTest.cpp
@@ -302,7 +302,7 @@
     const Instant begun{ seconds(100) };
     const ProgressRule rule{ seconds(5), seconds(30), 4096 };
     CPPUNIT_ASSERT(rule.DueAt(begun, 0) == begun + seconds(5));
-    CPPUNIT_ASSERT(rule.DueAt(begun, 4096 * 10) == begun + seconds(15));
+    CPPUNIT_ASSERT(rule.DueAt(begun, 40'960) == begun + seconds(15));
     CPPUNIT_ASSERT(rule.DueAt(begun, kMiB) == begun + seconds(30));
     CPPUNIT_ASSERT(rule.DueAt(begun, ~std::size_t(0)) == begun + seconds(30));
     Section("by default a message of 1 MiB may take 26 s at 40 KB/s", [&] {
