--- a/packages/proxy/tests/LimitsTest.cpp
+++ b/packages/proxy/tests/LimitsTest.cpp
@@ -3,7 +3,10 @@
 #include "proxy/limits/LimitReporter.h"
 #include "proxy/limits/MemoryBudget.h"
 #include "proxy/limits/ProgressRule.h"
+#include "proxy/pool/PooledConnection.h"
 #include "proxy/session/SessionState.h"
+#include "proxy/session/SetupCommands.h"
+#include "proxy/tests/FakeNetwork.h"
 #include "support/Section.h"
 
 #include <algorithm>
@@ -11,6 +14,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <cstddef>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <utility>
@@ -98,6 +102,7 @@
   CPPUNIT_TEST(DescriptorsAreDivided);
   CPPUNIT_TEST(ReportsAreRateLimited);
   CPPUNIT_TEST(SessionStateIsMeasured);
+  CPPUNIT_TEST(ConnectionsForgetLargeState);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -348,6 +353,41 @@
       std::string("101000 limit reached limit=line-time figure=18 bound=20 count=1000"), lines[1]);
   }
 
+  /** Guards against idle connections that keep copies of all values, and against values that the
+     next session finds because their connection has forgotten them. */
+  void ConnectionsForgetLargeState()
+  {
+    PooledConnection<test::FakeNetwork> connection;
+    connection.variables = { { "zone", "cet" } };
+    connection.preparedNames = { "r_a" };
+    Section("a small state is kept", [&] {
+      connection.ForgetLargeState();
+      CPPUNIT_ASSERT(connection.variables.contains("zone"));
+      CPPUNIT_ASSERT(connection.preparedNames.contains("r_a"));
+    });
+    const auto firstCommand = [&](const SessionVariables& aOfSession) {
+      const auto commands =
+        MakeSetupCommands(connection.variables, connection.preparedNames, aOfSession, nullptr);
+      return commands.empty() ? std::nullopt : std::optional(commands.front().kind);
+    };
+    Section("a large value is forgotten, and any next session resets the connection", [&] {
+      connection.variables["large"] = std::string(100'000, 'x');
+      connection.ForgetLargeState();
+      CPPUNIT_ASSERT(!connection.variables.contains("large"));
+      CPPUNIT_ASSERT(firstCommand({}) == ServerCommandKind::Reset);
+      CPPUNIT_ASSERT(firstCommand({ { "zone", "cet" } }) == ServerCommandKind::Reset);
+    });
+    Section("so are many names", [&] {
+      connection.variables.clear();
+      for (int name = 0; name <= 1000; ++name) {
+        connection.preparedNames.insert(std::to_string(name));
+      }
+      connection.ForgetLargeState();
+      CPPUNIT_ASSERT(connection.preparedNames.empty());
+      CPPUNIT_ASSERT(firstCommand({}) == ServerCommandKind::Reset);
+    });
+  }
+
   void SessionStateIsMeasured()
   {
     SessionState state;
