--- a/packages/proxy/coordination/AttachmentExchange.h
+++ b/packages/proxy/coordination/AttachmentExchange.h
@@ -8,6 +8,7 @@
 #include "proxy/coordination/FleetView.h"
 #include "proxy/coordination/StableHash.h"
 #include "proxy/coordination/TableCopy.h"
+#include "proxy/limits/LimitReporter.h"
 #include "proxy/rate/PeerMessenger.h"
 
 #include <algorithm>
@@ -15,6 +16,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <limits>
 #include <map>
 #include <optional>
 #include <string>
@@ -112,6 +114,14 @@
   AttachmentExchange& operator=(const AttachmentExchange&) = delete;
   ~AttachmentExchange() = default;
 
+  /** Limits the number of VMs that may be attached to this member. A request of a further one is
+     not answered, so that it asks another member. aReporter may be null. */
+  void SetLimits(std::size_t aMaxAttachedVms, LimitReporter* aReporter)
+  {
+    this->maxAttachedVms = aMaxAttachedVms;
+    this->limitReporter = aReporter;
+  }
+
   /** Sets the role of this VM. */
   void SetRole(Instant aNow, FleetRole aRole)
   {
@@ -334,6 +344,14 @@
     if (aRequest.isMember && this->isFollowing) {
       return;
     }
+    if (this->followers.size() >= this->maxAttachedVms &&
+        !this->followers.contains(aRequest.sender)) {
+      if (this->limitReporter != nullptr) {
+        this->limitReporter->Report(
+          aNow, LimitKind::AttachedVms, this->followers.size(), this->maxAttachedVms);
+      }
+      return;
+    }
     Follower& follower = this->followers[aRequest.sender];
     if (follower.incarnation != aRequest.incarnation) {
       follower.requests.clear();
@@ -454,6 +472,8 @@
   /** Whether this VM asks members instead of watching the store's tables. */
   bool isFollowing = false;
   std::map<VmId, Follower> followers;
+  std::size_t maxAttachedVms = std::numeric_limits<std::size_t>::max();
+  LimitReporter* limitReporter = nullptr;
   Instant invitedAt{};
   VmId invitedVm;
   std::uint64_t lastNumber = 0;
