Review: a new replica during a promotion loses acknowledged commits

Cause: replicas are chosen once per promotion, and a primary that only most machines can't reach is not demoted, so it acknowledges commits through a replica that starts meanwhile.

--- a/review/6/LateOrderCase.cpp
+++ b/review/6/LateOrderCase.cpp
@@ -1,12 +1,11 @@
-#include "Client.h"
 #include "Deployment.h"
+#include "Writer.h"
 
-#include <cstdlib>
 #include <iostream>
-#include <map>
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 /** A primary is silent for a moment, the order to promote a replica gets no answer and is carried
@@ -18,7 +17,6 @@
 using namespace review;
 
 constexpr std::size_t kClients = 12;
-constexpr Milliseconds kBetweenWrites(25);
 /** How long the primary is silent; srv_crash allows 7 s. */
 constexpr Milliseconds kDark(2000);
 /** How late the order to promote is carried out; applied_late allows 2 to 12 s. */
@@ -26,113 +24,6 @@
 /** How late the RESUME of one replica is carried out. */
 constexpr Milliseconds kLateResume(4000);
 
-struct Acknowledged
-{
-  std::string text;
-  long at = 0;
-};
-
-/** A client that writes one item after the other. */
-class Writer : public std::enable_shared_from_this<Writer>
-{
-public:
-  Writer(Loop& aLoop, Record& aRecord, Deployment& aDeployment, std::size_t aNumber)
-    : loop(aLoop)
-    , record(aRecord)
-    , deployment(aDeployment)
-    , number(aNumber)
-  {
-  }
-
-  void Connect()
-  {
-    this->client = std::make_shared<Client>(this->loop);
-    Daemon& daemon = this->deployment.At(this->number + this->connects++);
-    this->client->Start(daemon.Ip(),
-                        daemon.FrontPort(),
-                        "bookings",
-                        "office-key",
-                        [self = this->shared_from_this()](bool aIsReady) {
-                          if (aIsReady) {
-                            self->WriteNext();
-                          } else {
-                            self->loop.After(Milliseconds(200), [self] { self->Connect(); });
-                          }
-                        });
-  }
-
-  void Stop() { this->hasStopped = true; }
-  const std::map<std::string, Acknowledged>& Acknowledgements() const { return this->acknowledged; }
-
-private:
-  void WriteNext()
-  {
-    if (this->hasStopped) {
-      this->client->Close();
-      return;
-    }
-    const std::string name = std::to_string(this->number) + "x" + std::to_string(++this->writes);
-    const std::string request = "c" + name;
-    const std::string text = "slot" + name + " client" + std::to_string(this->number);
-    this->record.Write("send " + request + " WRITE " + text);
-    this->client->Query(request,
-                        "WRITE " + text,
-                        [self = this->shared_from_this(), request, text](const Answer& aAnswer) {
-                          self->OnAnswer(request, text, aAnswer);
-                        });
-  }
-
-  void OnAnswer(const std::string& aRequest, const std::string& aText, const Answer& aAnswer)
-  {
-    this->record.Write("answer " + aRequest + " " + aAnswer.kind + " " + aAnswer.text);
-    if (aAnswer.kind == "DONE" && aAnswer.text != "-") {
-      this->acknowledged[aRequest] = { aText, this->loop.Now() };
-    }
-    const bool isClosed = aAnswer.kind == "CLOSED";
-    this->loop.After(kBetweenWrites, [self = this->shared_from_this(), isClosed] {
-      if (isClosed) {
-        self->Connect();
-      } else {
-        self->WriteNext();
-      }
-    });
-  }
-
-  Loop& loop;
-  Record& record;
-  Deployment& deployment;
-  std::size_t number;
-  std::size_t connects = 0;
-  std::size_t writes = 0;
-  std::shared_ptr<Client> client;
-  std::map<std::string, Acknowledged> acknowledged;
-  bool hasStopped = false;
-};
-
-/** Counts the acknowledged writes that a log lacks. */
-std::size_t CountMissing(Record& aRecord,
-                         const std::vector<std::shared_ptr<Writer>>& aWriters,
-                         const std::vector<LogEntry>& aLog)
-{
-  std::map<std::string, bool> held;
-  for (const LogEntry& entry : aLog) {
-    for (const auto& [request, text] : entry.writes) {
-      held[request] = true;
-    }
-  }
-  std::size_t missing = 0;
-  for (const auto& writer : aWriters) {
-    for (const auto& [request, write] : writer->Acknowledgements()) {
-      if (!held.contains(request)) {
-        ++missing;
-        aRecord.Write("LOST " + request + " (" + write.text + "), acknowledged at " +
-                      std::to_string(write.at) + ", is not in the log of the promoted server");
-      }
-    }
-  }
-  return missing;
-}
-
 } // namespace
 
 int main(int aCount, char** aArguments)
@@ -191,8 +82,12 @@
   if (!deployment.Start()) {
     return 2;
   }
+  std::vector<const Daemon*> machines;
+  for (const auto& daemon : deployment.Daemons()) {
+    machines.push_back(daemon.get());
+  }
   for (std::size_t number = 0; number < kClients; ++number) {
-    writers.push_back(std::make_shared<Writer>(loop, record, deployment, number));
+    writers.push_back(std::make_shared<Writer>(loop, record, machines, number));
     writers.back()->Connect();
   }
   loop.RunFor(Milliseconds(5000));
--- a/review/standins-2/Daemon.cpp
+++ b/review/standins-2/Daemon.cpp
@@ -1,15 +1,18 @@
 #include "Daemon.h"
 
+#include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/ip/udp.hpp>
 #include <csignal>
+#include <cstdio>
 #include <cstdlib>
 #include <fcntl.h>
 #include <filesystem>
 #include <fstream>
 #include <iterator>
 #include <set>
+#include <sstream>
 #include <stdexcept>
 #include <sys/prctl.h>
 #include <sys/wait.h>
@@ -176,6 +179,36 @@
   return 0;
 }
 
+bool Daemon::OwnsPort(unsigned short aPort) const
+{
+  // Finds the connection's inode by its local port, and looks for it among the process's files.
+  constexpr std::size_t kInodeField = 9;
+  std::array<char, 8> port{};
+  std::snprintf(port.data(), port.size(), ":%04X ", static_cast<unsigned>(aPort));
+  std::ifstream connections("/proc/net/tcp");
+  std::set<std::string> sockets;
+  for (std::string line; std::getline(connections, line);) {
+    const std::size_t local = line.find(port.data());
+    if (local == std::string::npos || local != line.find(':', line.find(':') + 1)) {
+      continue;
+    }
+    std::istringstream fields(line);
+    std::string field;
+    for (std::size_t index = 0; index <= kInodeField; ++index) {
+      fields >> field;
+    }
+    sockets.insert("socket:[" + field + "]");
+  }
+  std::error_code error;
+  const std::filesystem::path folder("/proc/" + std::to_string(this->pid) + "/fd");
+  for (const auto& file : std::filesystem::directory_iterator(folder, error)) {
+    if (sockets.contains(std::filesystem::read_symlink(file.path(), error).string())) {
+      return true;
+    }
+  }
+  return false;
+}
+
 bool Daemon::HasEnded()
 {
   if (this->pid > 0 && ::waitpid(this->pid, nullptr, WNOHANG) == this->pid) {
--- a/review/standins-2/Daemon.h
+++ b/review/standins-2/Daemon.h
@@ -44,6 +44,8 @@
 
   /** Resident memory in MB, or 0 if the process is gone. */
   double ResidentMb() const;
+  /** Whether a connection from this local port belongs to the process. */
+  bool OwnsPort(unsigned short aPort) const;
   /** Whether the process has ended by itself. */
   bool HasEnded();
 
--- a/review/standins-2/Database.cpp
+++ b/review/standins-2/Database.cpp
@@ -22,6 +22,7 @@
 public:
   Session(Server& aServer, tcp::socket aSocket)
     : server(aServer)
+    , port(PortOf(aSocket))
     , socket(std::make_shared<LineSocket>(std::move(aSocket)))
   {
   }
@@ -31,13 +32,24 @@
     this->socket->Start(
       [self = this->shared_from_this()](const std::string& aLine) { self->OnLine(aLine); },
       [self = this->shared_from_this()] { self->server.sessions.erase(self); });
-    this->socket->SetHeld(this->server.isDark);
+    this->UpdateHeld();
   }
 
-  void SetHeld(bool aIsHeld) { this->socket->SetHeld(aIsHeld); }
+  /** Holds the connection back while the server is dark or cut off from this caller. */
+  void UpdateHeld()
+  {
+    this->socket->SetHeld(this->server.isDark ||
+                          (this->server.isCut && this->server.isCut(this->port)));
+  }
   void Close() { this->socket->Close(); }
 
 private:
+  static unsigned short PortOf(const tcp::socket& aSocket)
+  {
+    boost::system::error_code error;
+    return aSocket.remote_endpoint(error).port();
+  }
+
   void OnLine(const std::string& aLine)
   {
     std::string rest = aLine;
@@ -241,6 +253,7 @@
   }
 
   Server& server;
+  unsigned short port;
   std::shared_ptr<LineSocket> socket;
   std::string tenant;
   std::map<std::string, bool> prepared;
@@ -279,13 +292,24 @@
   this->database.onEvent(this->id + (aIsDark ? " goes dark" : " is back"));
   const auto present = this->sessions;
   for (const auto& session : present) {
-    session->SetHeld(aIsDark);
+    session->UpdateHeld();
   }
   if (!aIsDark && this->isPrimary) {
     this->database.Replicate(*this);
   }
 }
 
+void Server::SetCut(std::function<bool(unsigned short)> aIsCut)
+{
+  this->isCut = std::move(aIsCut);
+  this->database.onEvent(
+    this->id + (this->isCut ? " is cut off from some callers" : " is reached by all again"));
+  const auto present = this->sessions;
+  for (const auto& session : present) {
+    session->UpdateHeld();
+  }
+}
+
 void Server::WriteEntry()
 {
   if (this->isDark) {
@@ -352,6 +376,10 @@
   this->servers.push_back(std::make_unique<Server>(*this, aId, aZone, aIp));
   Server& added = *this->servers.back();
   added.isPrimary = this->servers.size() == 1;
+  if (Server* primary = this->Primary(); primary != &added && primary != nullptr) {
+    added.term = primary->term;
+    this->Replicate(*primary);
+  }
   added.WriteEntry();
   return added;
 }
@@ -413,7 +441,12 @@
     const std::string item = TakeWord(data);
     aPrimary.items[item] = data;
   }
+  std::string requests;
+  for (const auto& [request, text] : aEntry.writes) {
+    requests += " " + request;
+  }
   aPrimary.log.push_back(std::move(aEntry));
+  this->onEvent(aPrimary.id + " runs" + requests + " as " + aPrimary.Position());
   this->pending.push_back({ aPrimary.log.size(), std::move(aOnAcknowledged) });
   this->Replicate(aPrimary);
   this->Acknowledge();
--- a/review/standins-2/Database.h
+++ b/review/standins-2/Database.h
@@ -41,6 +41,10 @@
   /** Cuts the server off, silently, or lets it take part again. */
   void SetDark(bool aIsDark);
 
+  /** Cuts the server off from some callers, or ends the cut. aIsCut tells by the caller's port
+     whether a connection is cut; null ends the cut. */
+  void SetCut(std::function<bool(unsigned short)> aIsCut);
+
   /** Called before the server carries out an order (PAUSE, RESUME, DEMOTE). If it returns a delay,
       the order gets no answer and is carried out after that delay. */
   std::function<std::optional<Milliseconds>(const std::string&)> lateOrder;
@@ -70,6 +74,7 @@
   std::uint64_t sequence = 0;
   bool isPrimary = false;
   bool isDark = false;
+  std::function<bool(unsigned short)> isCut;
 };
 
 /** Stand-in of a service: one primary and its replicas. Replicas receive each commit over the
@@ -91,6 +96,7 @@
 
   Database(Loop& aLoop, Platform& aPlatform, Settings aSettings, Event aOnEvent);
 
+  /** Adds a server; the first one is the primary. A replica receives the log from then on. */
   Server& Add(const std::string& aId, const std::string& aZone, const std::string& aIp);
   Server* Find(const std::string& aId);
   Server* Primary();
