Review: a lapsed entry lowers the answers that a promotion needs

Cause: the number of answers goes by the servers that are still listed, so a silent replica that alone holds acknowledged commits stops counting.

--- a/review/6/LateOrderCase.cpp
+++ b/review/6/LateOrderCase.cpp
@@ -1,5 +1,5 @@
-#include "Deployment.h"
-#include "Writer.h"
+#include "../standins-2/Deployment.h"
+#include "../standins-2/Writer.h"
 
 #include <iostream>
 #include <memory>
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")/.."
 output=target/review-2
 mkdir -p "$output"
-flags=(-std=c++20 -O1 -Wall -Wextra -Ireview/standins-2)
+flags=(-std=c++20 -O1 -Wall -Wextra)
 build() {
   local source=$1
   local object
--- a/review/standins-2/Database.cpp
+++ b/review/standins-2/Database.cpp
@@ -242,6 +242,7 @@
 
   void ReplySigned(const std::string& aRequest, const std::string& aRows)
   {
+    ++this->server.database.runs;
     this->Reply(aRows + "DONE " + this->server.id + "." + aRequest);
   }
 
@@ -294,8 +295,30 @@
   for (const auto& session : present) {
     session->UpdateHeld();
   }
-  if (!aIsDark && this->isPrimary) {
-    this->database.Replicate(*this);
+  if (!aIsDark) {
+    this->WriteEntry();
+    if (Server* present = this->database.Primary()) {
+      this->database.Replicate(*present);
+    }
+  }
+}
+
+void Server::SetDeaf(bool aIsDeaf)
+{
+  this->isDeaf = aIsDeaf;
+  this->database.onEvent(this->id + (aIsDeaf ? " receives nothing" : " receives again"));
+  if (Server* primary = this->database.Primary(); primary != nullptr && !aIsDeaf) {
+    this->database.Replicate(*primary);
+  }
+}
+
+void Server::ExpireEntry()
+{
+  const long silence = this->database.loop.Now() - this->wroteEntryAt;
+  if (this->isListed && silence >= 3 * kHeartbeat.count()) {
+    this->isListed = false;
+    this->database.onEvent("the entry of " + this->id + " is removed");
+    this->database.platform.Remove("servers", this->id);
   }
 }
 
@@ -315,6 +338,8 @@
   if (this->isDark) {
     return;
   }
+  this->isListed = true;
+  this->wroteEntryAt = this->database.loop.Now();
   this->database.platform.Put(
     "servers",
     this->id,
@@ -466,8 +491,8 @@
 
 void Database::Receive(Server& aPrimary, Server& aReplica, std::size_t aCount)
 {
-  const bool mayReceive =
-    aPrimary.isPrimary && !aPrimary.isDark && !aReplica.isDark && aReplica.pausedTerm == 0;
+  const bool mayReceive = aPrimary.isPrimary && !aPrimary.isDark && !aReplica.isDark &&
+                          !aReplica.isDeaf && aReplica.pausedTerm == 0;
   if (!mayReceive || aCount > aPrimary.log.size()) {
     return;
   }
@@ -509,10 +534,14 @@
 
 void Database::Heartbeat()
 {
+  constexpr Milliseconds kStep(100);
   for (const auto& server : this->servers) {
-    server->WriteEntry();
+    if (this->loop.Now() - server->wroteEntryAt >= kHeartbeat.count()) {
+      server->WriteEntry();
+    }
+    server->ExpireEntry();
   }
-  this->loop.After(kHeartbeat, [this] { this->Heartbeat(); });
+  this->loop.After(kStep, [this] { this->Heartbeat(); });
 }
 
 } // namespace review
--- a/review/standins-2/Database.h
+++ b/review/standins-2/Database.h
@@ -41,6 +41,9 @@
   /** Cuts the server off, silently, or lets it take part again. */
   void SetDark(bool aIsDark);
 
+  /** Makes a replica receive nothing, or receive again. */
+  void SetDeaf(bool aIsDeaf);
+
   /** Cuts the server off from some callers, or ends the cut. aIsCut tells by the caller's port
      whether a connection is cut; null ends the cut. */
   void SetCut(std::function<bool(unsigned short)> aIsCut);
@@ -55,6 +58,8 @@
 
   void Accept();
   void WriteEntry();
+  /** Removes the entry of a server that has not written it for three heartbeats. */
+  void ExpireEntry();
   std::string Position() const;
   std::string StatusRow() const;
   /** Carries out PAUSE, RESUME or DEMOTE. Returns false if it is refused. */
@@ -74,6 +79,10 @@
   std::uint64_t sequence = 0;
   bool isPrimary = false;
   bool isDark = false;
+  bool isDeaf = false;
+  bool isListed = false;
+  /** When it last wrote its entry in the store. */
+  long wroteEntryAt = 0;
   std::function<bool(unsigned short)> isCut;
 };
 
@@ -102,6 +111,9 @@
   Server* Primary();
   const std::string& Service() const { return this->settings.service; }
 
+  /** Number of statements of clients that the servers have answered with their signature. */
+  std::size_t Runs() const { return this->runs; }
+
   /** Makes a server the primary of the next term, after the time that a promotion takes. */
   void Promote(const std::string& aId);
 
@@ -130,6 +142,7 @@
   Event onEvent;
   std::vector<std::unique_ptr<Server>> servers;
   std::vector<Pending> pending;
+  std::size_t runs = 0;
 };
 
 } // namespace review
--- a/review/standins-2/Deployment.cpp
+++ b/review/standins-2/Deployment.cpp
@@ -70,7 +70,7 @@
   }.dump();
 }
 
-Deployment::Deployment(Loop& aLoop, Record& aRecord, Settings aSettings)
+Deployment::Deployment(Loop& aLoop, Record& aRecord, const Settings& aSettings)
   : loop(aLoop)
   , record(aRecord)
   , folder(MakeFolder())
--- a/review/standins-2/Deployment.h
+++ b/review/standins-2/Deployment.h
@@ -27,7 +27,7 @@
     std::string configuration;
   };
 
-  Deployment(Loop& aLoop, Record& aRecord, Settings aSettings);
+  Deployment(Loop& aLoop, Record& aRecord, const Settings& aSettings);
   ~Deployment();
   Deployment(const Deployment&) = delete;
   Deployment& operator=(const Deployment&) = delete;
--- a/review/standins-2/LineSocket.cpp
+++ b/review/standins-2/LineSocket.cpp
@@ -15,7 +15,7 @@
   this->Read();
 }
 
-void LineSocket::Send(std::string aText)
+void LineSocket::Send(const std::string& aText)
 {
   if (!this->isClosed) {
     this->output += aText;
--- a/review/standins-2/LineSocket.h
+++ b/review/standins-2/LineSocket.h
@@ -21,7 +21,7 @@
   }
 
   void Start(LineHandler aOnLine, CloseHandler aOnClosed);
-  void Send(std::string aText);
+  void Send(const std::string& aText);
   void Close();
   bool IsOpen() const { return !this->isClosed; }
 
