Review: stand-ins inside review/6, doses of review/8 as quoted

Cause: cases are folders 6 to 10, so the shared stand-ins move into the first; the primary of review/8 was silent for longer than the quoted dose.

--- a/review/6/LateOrderCase.cpp
+++ b/review/6/LateOrderCase.cpp
@@ -1,5 +1,5 @@
-#include "../standins-2/Deployment.h"
-#include "../standins-2/Writer.h"
+#include "standins/Deployment.h"
+#include "standins/Writer.h"
 
 #include <iostream>
 #include <memory>
--- a/review/7/NewReplicaCase.cpp
+++ b/review/7/NewReplicaCase.cpp
@@ -1,5 +1,5 @@
-#include "../standins-2/Deployment.h"
-#include "../standins-2/Writer.h"
+#include "../6/standins/Deployment.h"
+#include "../6/standins/Writer.h"
 
 #include <iostream>
 #include <memory>
--- a/review/8/ExpiredEntryCase.cpp
+++ b/review/8/ExpiredEntryCase.cpp
@@ -1,5 +1,5 @@
-#include "../standins-2/Deployment.h"
-#include "../standins-2/Writer.h"
+#include "../6/standins/Deployment.h"
+#include "../6/standins/Writer.h"
 
 #include <iostream>
 #include <memory>
@@ -17,6 +17,7 @@
 constexpr std::size_t kClients = 12;
 /** replica_lag allows 6.5 s for a replica that receives nothing, with a crash of the primary. */
 constexpr Milliseconds kDeaf(6500);
+constexpr Milliseconds kPrimaryDark(6500);
 /** srv_crash allows 7 s. */
 constexpr Milliseconds kDark(7000);
 
@@ -74,7 +75,7 @@
     loop.After(kDark, [&] { last.SetDark(false); });
     loop.RunFor(Milliseconds(1000));
     primary.SetDark(true);
-    loop.After(kDark, [&] { primary.SetDark(false); });
+    loop.After(kPrimaryDark, [&] { primary.SetDark(false); });
   }
   loop.RunFor(Milliseconds(11'000));
   std::size_t acknowledged = 0;
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -12,7 +12,7 @@
   clang++ "${flags[@]}" -c "$source" -o "$object"
 }
 pids=()
-for source in review/standins-2/*.cpp review/[6-9]/*.cpp review/10/*.cpp; do
+for source in review/6/standins/*.cpp review/[6-9]/*.cpp review/10/*.cpp; do
   [ -e "$source" ] || continue
   build "$source" &
   pids+=("$!")
@@ -21,7 +21,7 @@
   wait "$pid"
 done
 standins=()
-for source in review/standins-2/*.cpp; do
+for source in review/6/standins/*.cpp; do
   standins+=("$output/$(basename "$source" .cpp).o")
 done
 for source in review/[6-9]/*.cpp review/10/*.cpp; do
