Keep a promotion open until another server leads the group

Cause: the driver treated an order without an answer like one that was not carried out. With the primary back, it found no reason for a promotion, told the replicas to receive again, and the primary acknowledged commits that the replica lacked which the late order promoted.

Change: before the first order, the promotion is stored as open, in a row of the table "promotions" under the row's version (PromotionRecord). While it is open, no replica is resumed and the promotion is not given up; the holder of the lease repeats it, under a higher fencing token, until a server other than the old primary leads. The next holder reads the rows when it takes the lease over and goes on from there. Without a stored record no order is sent. Only replicas that are paused are told to resume, since a command to resume may be late as well. Groups without sync_replicas keep their path and store nothing.

--- a/packages/proxy/promotion/PromotionDriver.h
+++ b/packages/proxy/promotion/PromotionDriver.h
@@ -10,6 +10,8 @@
 #include "proxy/promotion/ChooseCandidate.h"
 #include "proxy/promotion/PromotionOrderSender.h"
 #include "proxy/promotion/PromotionReason.h"
+#include "proxy/promotion/PromotionRecord.h"
+#include "proxy/promotion/PromotionRecords.h"
 #include "proxy/promotion/ServerPoller.h"
 #include "proxy/schedule/Scheduler.h"
 
@@ -36,8 +38,11 @@
 
     In groups whose commits are acknowledged once replicas have received them, the replicas are
     paused before the choice, and a primary that is leaving is demoted before the order: it then
-    can't acknowledge commits that the promoted replica lacks. A promotion ends the pause; where
-   none follows, the holder ends it.
+    can't acknowledge commits that the promoted replica lacks. Before the order, the promotion is
+    stored as open (PromotionRecord). An order without an answer may be carried out seconds later,
+    so an open promotion is never given up: the replicas stay paused, and the holder of the lease
+    sends orders until another server leads the group. A promotion ends the pause; where none
+    follows, the holder ends it.
 
     Thread safety: none; one thread owns the object. */
 template<DatabaseNetwork Network, TableStore Store, PromotionOrderSender Orders>
@@ -49,7 +54,7 @@
   static constexpr Duration kAcceptedPause = std::chrono::seconds(3);
   /** Pause after a failed attempt. */
   static constexpr Duration kFailedPause = std::chrono::milliseconds(500);
-  /** Interval at which the replicas of a group that needs no new primary are told to receive again.
+  /** Interval at which the replicas of a group that needs no new primary are checked for a pause.
       Covers a pause command of an earlier holder that arrived late. */
   static constexpr Duration kResumeInterval = std::chrono::seconds(30);
 
@@ -70,6 +75,7 @@
     , fleet(aFleet)
     , log(aLog)
     , poller(aPool, aCluster, aHealth, aScheduler)
+    , records(aStore, aLog)
   {
   }
   PromotionDriver(const PromotionDriver&) = delete;
@@ -94,20 +100,17 @@
       for (auto& [group, state] : this->groupStates) {
         state.nextResumeAt = aNow;
       }
+      // The next holder may change the records.
+      this->records.Unload();
       return;
     }
+    if (!this->cluster.Configuration().syncReplicas.empty() && !this->records.IsLoaded() &&
+        aNow >= this->nextLoadAt) {
+      this->nextLoadAt = aNow + kFailedPause;
+      this->records.Load([this](Instant aThen) { this->Step(aThen, this->leaseUntil); });
+    }
     for (const auto& [group, limit] : this->cluster.Configuration().connectionLimits) {
-      GroupState& state = this->groupStates[group];
-      if (state.isRunning || aNow < state.nextAttemptAt) {
-        continue;
-      }
-      const auto reason = FindPromotionReason(aNow, group, this->cluster, this->fleet);
-      if (!reason) {
-        state.rejectedCandidates.clear();
-        this->ResumeReplicas(aNow, group);
-        continue;
-      }
-      this->CollectPositions(aNow, group, *reason);
+      this->StepGroup(aNow, group);
     }
   }
 
@@ -125,17 +128,66 @@
 private:
   using Replies = typename ServerPoller<Network>::Replies;
 
+  void StepGroup(Instant aNow, const DatabaseName& aGroup)
+  {
+    GroupState& state = this->groupStates[aGroup];
+    // Without the record it is unknown whether the replicas may receive.
+    if (state.isRunning || state.isResuming ||
+        (this->IsSynchronous(aGroup) && !this->records.IsLoaded())) {
+      return;
+    }
+    if (this->IsOrderOpen(aGroup) && this->HasNewPrimary(aGroup)) {
+      this->CloseRecord(aNow, aGroup);
+      return;
+    }
+    if (aNow < state.nextAttemptAt) {
+      return;
+    }
+    const auto reason = FindPromotionReason(aNow, aGroup, this->cluster, this->fleet);
+    if (!reason && !this->IsOrderOpen(aGroup)) {
+      state.rejectedCandidates.clear();
+      this->ResumeReplicas(aNow, aGroup);
+      return;
+    }
+    this->CollectPositions(aNow, aGroup, reason);
+  }
+
+  /** Whether commits of the group are acknowledged once replicas have received them. An open
+      promotion ends as it began, whatever the configuration says by then. */
+  bool IsSynchronous(const DatabaseName& aGroup) const
+  {
+    return this->cluster.Configuration().syncReplicas.contains(aGroup) || this->IsOrderOpen(aGroup);
+  }
+
+  bool IsOrderOpen(const DatabaseName& aGroup) const
+  {
+    return this->records.Of(aGroup).isOrderOpen;
+  }
+
+  /** Whether a server is listed as the primary that is not the one being replaced. */
+  bool HasNewPrimary(const DatabaseName& aGroup) const
+  {
+    const std::optional<ServerId> primary = this->cluster.PrimaryOf(aGroup);
+    return primary && *primary != this->records.Of(aGroup).primary;
+  }
+
   /** State of the promotion in one group. */
   struct GroupState
   {
     bool isRunning = false;
+    /** A command to resume is on its way to a replica; a pause could overtake it. */
+    bool isResuming = false;
     Instant nextAttemptAt{};
     PromotionCandidates candidates;
     /** Servers whose promotion the platform has rejected since the group began to need a new
         primary. */
     std::set<ServerId> rejectedCandidates;
+    /** Newest term in which a replica receives. */
+    std::uint64_t ledTerm = 0;
     /** Term above the newest one that the replicas know. */
     std::uint64_t nextTerm = 0;
+    /** Replicas that were told to pause, and that no promotion or command has resumed since. */
+    std::set<ServerId> pausedReplicas;
     /** Instant from which the replicas are told to receive again, unless a primary is needed. */
     Instant nextResumeAt{};
   };
@@ -212,7 +264,11 @@
     this->AdvanceFencingToken([this](Instant, auto) { this->isClaiming = false; });
   }
 
-  void CollectPositions(Instant aNow, const DatabaseName& aGroup, PromotionReason aReason)
+  /** Starts an attempt.
+      @param aReason  nothing if the promotion only is needed because its order is open. */
+  void CollectPositions(Instant aNow,
+                        const DatabaseName& aGroup,
+                        std::optional<PromotionReason> aReason)
   {
     GroupState& state = this->groupStates[aGroup];
     const std::optional<ServerId> primary = this->cluster.PrimaryOf(aGroup);
@@ -222,7 +278,9 @@
                           "promotion",
                           "needed",
                           { { "group", aGroup.Text() },
-                            { "why", std::string(NameOf(kPromotionReasonNames, aReason)) },
+                            { "why",
+                              aReason ? std::string(NameOf(kPromotionReasonNames, *aReason))
+                                      : std::string("order open") },
                             { "primary", primary ? primary->Text() : "none" },
                             { "replicas", std::to_string(replicas.size()) },
                             { "sync", std::to_string(state.candidates.syncReplicas) } });
@@ -245,9 +303,19 @@
                      });
   }
 
-  PromotionCandidates FindReplicas(const DatabaseName& aGroup, PromotionReason aReason) const
+  /** The primary that is replaced, and that is no candidate: the listed one or, while an order is
+      open, the one at the time of that order, which may be listed as a replica by now. */
+  std::optional<ServerId> ReplacedPrimary(const DatabaseName& aGroup) const
   {
-    const std::optional<ServerId> primary = this->cluster.PrimaryOf(aGroup);
+    const PromotionRecord& record = this->records.Of(aGroup);
+    return record.isOrderOpen && !record.primary.Text().empty() ? std::optional(record.primary)
+                                                                : this->cluster.PrimaryOf(aGroup);
+  }
+
+  PromotionCandidates FindReplicas(const DatabaseName& aGroup,
+                                   std::optional<PromotionReason> aReason) const
+  {
+    const std::optional<ServerId> primary = this->ReplacedPrimary(aGroup);
     const std::vector<ServerId> servers = this->cluster.ServersOf(aGroup);
     const std::vector<ServerId> readyServers = this->cluster.ReadyServers(aGroup);
     const auto& syncReplicas = this->cluster.Configuration().syncReplicas;
@@ -257,11 +325,15 @@
     candidates.replicaCount = servers.size();
     if (primary) {
       candidates.readyReplicas.erase(*primary);
-      --candidates.replicaCount;
+      candidates.replicaCount -=
+        static_cast<std::size_t>(std::count(servers.begin(), servers.end(), *primary));
     }
     candidates.syncReplicas =
       syncReplicasOfGroup == syncReplicas.end() ? 0 : syncReplicasOfGroup->second;
-    candidates.isPrimaryServing = aReason == PromotionReason::Leaving;
+    if (this->IsOrderOpen(aGroup)) {
+      candidates.syncReplicas = std::max<std::size_t>(1, candidates.syncReplicas);
+    }
+    candidates.isPrimaryServing = aReason == PromotionReason::Leaving && !this->IsOrderOpen(aGroup);
     return candidates;
   }
 
@@ -284,7 +356,7 @@
   {
     const std::vector<ServerId> servers = this->cluster.ServersOf(aGroup);
     std::set<ServerId> replicas(servers.begin(), servers.end());
-    if (const auto primary = this->cluster.PrimaryOf(aGroup)) {
+    if (const auto primary = this->ReplacedPrimary(aGroup)) {
       replicas.erase(*primary);
     }
     return replicas;
@@ -292,16 +364,24 @@
 
   void OnStatus(Instant aNow, const DatabaseName& aGroup, const Replies& aReplies)
   {
-    PromotionCandidates& candidates = this->groupStates[aGroup].candidates;
+    GroupState& state = this->groupStates[aGroup];
+    PromotionCandidates& candidates = state.candidates;
     std::uint64_t newestTerm = 0;
+    std::uint64_t ledTerm = 0;
     for (const auto& [replica, reply] : aReplies) {
       if (reply.serverStatus) {
         candidates.receivedPositions[replica] = reply.serverStatus->receivedPosition;
         newestTerm = std::max(newestTerm, reply.serverStatus->newestTerm);
+        ledTerm = std::max(ledTerm, reply.serverStatus->term);
       } else if (candidates.syncReplicas == 0 && reply.position) {
         candidates.receivedPositions[replica] = *reply.position;
       }
     }
+    if (this->IsOrderOpen(aGroup) && ledTerm > this->records.Of(aGroup).term) {
+      // Another server has led the group since, even if it is gone by now.
+      this->CloseRecord(aNow, aGroup);
+      return;
+    }
     const std::optional<ServerId> candidate = this->Decide(aNow, aGroup);
     if (!candidate) {
       return;
@@ -310,7 +390,8 @@
       this->Order(aGroup, *candidate);
       return;
     }
-    this->groupStates[aGroup].nextTerm = newestTerm + 1;
+    state.ledTerm = ledTerm;
+    state.nextTerm = newestTerm + 1;
     this->PauseReplicas(aNow, aGroup);
   }
 
@@ -322,6 +403,7 @@
     for (const auto& [replica, position] : state.candidates.receivedPositions) {
       replicas.insert(replica);
     }
+    state.pausedReplicas.insert(replicas.begin(), replicas.end());
     this->log.WriteAlways(aNow,
                           "promotion",
                           "pausing",
@@ -355,12 +437,48 @@
         reply.serverStatus ? reply.serverStatus->receivedPosition : positionsBefore.at(replica);
     }
     if (const std::optional<ServerId> candidate = this->Decide(aNow, aGroup)) {
-      this->DemotePrimary(aNow, aGroup, *candidate);
+      this->OpenRecord(aNow, aGroup, *candidate);
     } else if (this->IsHolder(aNow)) {
       this->ResumeReplicas(aNow, aGroup);
     }
   }
 
+  /** Stores that an order may be carried out from now on, then demotes the primary and sends the
+      order. */
+  void OpenRecord(Instant aNow, const DatabaseName& aGroup, const ServerId& aCandidate)
+  {
+    if (this->IsOrderOpen(aGroup)) {
+      this->DemotePrimary(aNow, aGroup, aCandidate);
+      return;
+    }
+    PromotionRecord record;
+    record.primary = this->cluster.PrimaryOf(aGroup).value_or(ServerId());
+    record.term = this->groupStates[aGroup].ledTerm;
+    record.isOrderOpen = true;
+    this->records.Write(aGroup, record, [this, aGroup, aCandidate](Instant aThen, bool aIsStored) {
+      if (aIsStored && this->IsHolder(aThen)) {
+        this->DemotePrimary(aThen, aGroup, aCandidate);
+      } else {
+        this->EndAttempt(aThen, aGroup, kFailedPause);
+      }
+    });
+  }
+
+  /** Stores that no order is open any more, because another server leads the group. */
+  void CloseRecord(Instant aNow, const DatabaseName& aGroup)
+  {
+    GroupState& state = this->groupStates[aGroup];
+    state.isRunning = true;
+    // The promotion has ended the pause of all that received it.
+    state.pausedReplicas.clear();
+    state.nextResumeAt = aNow;
+    PromotionRecord record;
+    record.primary = this->cluster.PrimaryOf(aGroup).value_or(ServerId());
+    this->records.Write(aGroup, record, [this, aGroup](Instant aThen, bool) {
+      this->EndAttempt(aThen, aGroup, Duration(0));
+    });
+  }
+
   /** Demotes a primary that still serves, then orders the promotion. The primary could acknowledge
       commits through a replica that is not listed, for example one that is just coming back. */
   void DemotePrimary(Instant aNow, const DatabaseName& aGroup, const ServerId& aCandidate)
@@ -396,40 +514,88 @@
       });
   }
 
-  /** Tells the replicas of a group with acknowledging replicas to receive again, if this is due. */
+  /** Tells the replicas of a group with acknowledging replicas to receive again, if this is due and
+      no order is open. */
   void ResumeReplicas(Instant aNow, const DatabaseName& aGroup)
   {
     GroupState& state = this->groupStates[aGroup];
-    if (!this->cluster.Configuration().syncReplicas.contains(aGroup) || aNow < state.nextResumeAt) {
+    if (!this->cluster.Configuration().syncReplicas.contains(aGroup) || !this->records.IsLoaded() ||
+        this->IsOrderOpen(aGroup) || aNow < state.nextResumeAt) {
       return;
     }
     state.nextResumeAt = aNow + kResumeInterval;
     const std::set<ServerId> replicas = this->ReplicasOf(aGroup);
-    if (replicas.empty()) {
-      return;
+    std::erase_if(state.pausedReplicas,
+                  [&](const ServerId& aReplica) { return !replicas.contains(aReplica); });
+    if (!state.pausedReplicas.empty()) {
+      this->SendResume(aNow, aGroup, state.pausedReplicas);
+    } else if (!replicas.empty()) {
+      this->ResumePausedReplicas(aNow, aGroup, replicas);
     }
+  }
+
+  /** Resumes those replicas that are paused. The others are sent nothing: a command to resume that
+      gets no answer may be carried out seconds later, during the pause for a promotion. */
+  void ResumePausedReplicas(Instant aNow,
+                            const DatabaseName& aGroup,
+                            const std::set<ServerId>& aReplicas)
+  {
+    ServerCommand status;
+    status.kind = ServerCommandKind::Status;
+    this->poller.Run(
+      aNow,
+      aReplicas,
+      status,
+      true,
+      [this, aGroup, count = aReplicas.size()](Instant aThen, const Replies& aReplies) {
+        GroupState& state = this->groupStates[aGroup];
+        if (aReplies.size() < count) {
+          state.nextResumeAt = aThen + kFailedPause;
+        }
+        std::set<ServerId> paused;
+        for (const auto& [replica, reply] : aReplies) {
+          if (reply.serverStatus && reply.serverStatus->pausedTerm > 0) {
+            paused.insert(replica);
+          }
+        }
+        if (!paused.empty() && !state.isRunning && this->IsHolder(aThen) &&
+            !this->IsOrderOpen(aGroup)) {
+          this->SendResume(aThen, aGroup, paused);
+        }
+      });
+  }
+
+  void SendResume(Instant aNow, const DatabaseName& aGroup, const std::set<ServerId>& aReplicas)
+  {
+    this->groupStates[aGroup].isResuming = true;
     ServerCommand resume;
     resume.kind = ServerCommandKind::Resume;
     this->poller.Run(
       aNow,
-      replicas,
+      aReplicas,
       resume,
       true,
-      [this, aGroup, count = replicas.size()](Instant aThen, const Replies& aReplies) {
+      [this, aGroup, count = aReplicas.size()](Instant aThen, const Replies& aReplies) {
+        GroupState& state = this->groupStates[aGroup];
+        state.isResuming = false;
+        for (const auto& [replica, reply] : aReplies) {
+          state.pausedReplicas.erase(replica);
+        }
         if (aReplies.size() < count) {
-          this->groupStates[aGroup].nextResumeAt = aThen + kFailedPause;
+          state.nextResumeAt = aThen + kFailedPause;
         }
       });
   }
 
-  /** Chooses the replica to promote. Ends the attempt, and returns nothing, if there is none or if
-     no promotion is due any more. */
+  /** Chooses the replica to promote. Ends the attempt, and returns nothing, if there is none, or if
+      no order is open and no promotion is due any more. */
   std::optional<ServerId> Decide(Instant aNow, const DatabaseName& aGroup)
   {
     const PromotionCandidates& candidates = this->groupStates[aGroup].candidates;
     const auto candidate = ChooseCandidate(candidates);
-    const auto reason = FindPromotionReason(aNow, aGroup, this->cluster, this->fleet);
-    if (candidate && reason && this->IsHolder(aNow)) {
+    const bool isDue = this->IsOrderOpen(aGroup) ||
+                       FindPromotionReason(aNow, aGroup, this->cluster, this->fleet).has_value();
+    if (candidate && isDue && this->IsHolder(aNow)) {
       return *candidate;
     }
     this->log.WriteAlways(
@@ -439,7 +605,7 @@
       { { "group", aGroup.Text() },
         { "why",
           !candidate ? std::string(NameOf(kNoCandidateReasonNames, candidate.error()))
-                     : (!reason ? "no longer needed" : "promotion lease lost") },
+                     : (!isDue ? "no longer needed" : "promotion lease lost") },
         { "positions", PositionsText(candidates) } });
     this->EndAttempt(aNow, aGroup, kFailedPause);
     return std::nullopt;
@@ -512,6 +678,9 @@
   FleetView& fleet;
   EventLog& log;
   ServerPoller<Network> poller;
+  PromotionRecords<Store> records;
+  /** Instant from which a failed read of the records is repeated. */
+  Instant nextLoadAt{};
   Instant leaseUntil{};
   std::map<DatabaseName, GroupState> groupStates;
   /** The holder that was most recently logged. */
--- /dev/null
+++ b/packages/proxy/promotion/PromotionRecords.h
@@ -0,0 +1,143 @@
+#pragma once
+
+#include "core/base/Instant.h"
+#include "core/base/NameTable.h"
+#include "core/base/Names.h"
+#include "proxy/coordination/TableStore.h"
+#include "proxy/log/EventLog.h"
+#include "proxy/promotion/PromotionRecord.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace mustardshift::proxy {
+
+/** The promotion records of all groups, as the holder of the promotion lease knows them. Read once
+    when the lease is taken over; each write is conditional on the row's version, so that a previous
+    holder that has not noticed its end can't overwrite the record of the present one.
+
+    Thread safety: none; one thread owns the object. */
+template<TableStore Store>
+class PromotionRecords
+{
+public:
+  static constexpr std::string_view kTable = "promotions";
+
+  /** All references have to outlive the object. */
+  PromotionRecords(Store& aStore, EventLog& aLog)
+    : store(aStore)
+    , log(aLog)
+  {
+  }
+  PromotionRecords(const PromotionRecords&) = delete;
+  PromotionRecords& operator=(const PromotionRecords&) = delete;
+  ~PromotionRecords() = default;
+
+  /** Whether the records are those of the store. */
+  bool IsLoaded() const { return this->isLoaded; }
+
+  /** Reads the records, unless a read is in progress.
+      @param aHandler  called once the records are loaded; not called if the read fails. */
+  void Load(std::function<void(Instant)> aHandler)
+  {
+    if (std::exchange(this->isLoading, true)) {
+      return;
+    }
+    this->store.Read(std::string(kTable),
+                     [this, generation = this->generation, handler = std::move(aHandler)](
+                       Instant aNow, const tl::expected<StoredRows, StoreFailure>& aRows) {
+                       this->isLoading = false;
+                       if (!aRows || generation != this->generation) {
+                         return;
+                       }
+                       this->Apply(aNow, *aRows);
+                       handler(aNow);
+                     });
+  }
+
+  /** Drops the records, because another VM may change them from now on. */
+  void Unload()
+  {
+    ++this->generation;
+    this->isLoaded = false;
+    this->entries.clear();
+  }
+
+  /** Record of a group; the default one if none is stored. */
+  const PromotionRecord& Of(const DatabaseName& aGroup) const
+  {
+    static const PromotionRecord kNoRecord;
+    const auto entry = this->entries.find(aGroup);
+    return entry == this->entries.end() ? kNoRecord : entry->second.record;
+  }
+
+  /** Stores the record of a group. After a failed write the records have to be loaded again.
+      Precondition: IsLoaded().
+      @param aHandler  receives whether the record is stored. */
+  void Write(const DatabaseName& aGroup,
+             const PromotionRecord& aRecord,
+             std::function<void(Instant, bool)> aHandler)
+  {
+    this->store.Write(
+      RowChange{ std::string(kTable),
+                 aGroup.Text(),
+                 EncodePromotionRecord(aRecord),
+                 this->entries[aGroup].version },
+      [this, aGroup, aRecord, generation = this->generation, handler = std::move(aHandler)](
+        Instant aNow, const tl::expected<std::uint64_t, StoreFailure>& aVersion) {
+        this->log.WriteAlways(
+          aNow,
+          "promotion",
+          "record-written",
+          { { "group", aGroup.Text() },
+            { "order", aRecord.isOrderOpen ? "open" : "none" },
+            { "primary", aRecord.primary.Text() },
+            { "outcome",
+              aVersion ? std::string("written")
+                       : std::string(NameOf(kStoreFailureNames, aVersion.error())) } });
+        const bool isCurrent = generation == this->generation;
+        if (isCurrent && aVersion) {
+          this->entries[aGroup] = Entry{ aRecord, *aVersion };
+        } else if (isCurrent) {
+          this->Unload();
+        }
+        handler(aNow, isCurrent && aVersion);
+      });
+  }
+
+private:
+  struct Entry
+  {
+    PromotionRecord record;
+    /** Version of the row; 0 if there is none. */
+    std::uint64_t version = 0;
+  };
+
+  void Apply(Instant aNow, const StoredRows& aRows)
+  {
+    this->entries.clear();
+    for (const StoredRow& row : aRows.rows) {
+      auto record = DecodePromotionRecord(row.value);
+      if (!record) {
+        this->log.WriteAlways(aNow, "promotion", "malformed-record", { { "group", row.key } });
+      }
+      this->entries[DatabaseName(row.key)] =
+        Entry{ record.value_or(PromotionRecord()), row.version };
+    }
+    this->isLoaded = true;
+  }
+
+  Store& store;
+  EventLog& log;
+  std::map<DatabaseName, Entry> entries;
+  bool isLoaded = false;
+  bool isLoading = false;
+  /** Increased when the records are dropped; answers to earlier calls are then ignored. */
+  std::uint64_t generation = 0;
+};
+
+} // namespace mustardshift::proxy
--- a/packages/proxy/statement/ServerStatus.h
+++ b/packages/proxy/statement/ServerStatus.h
@@ -14,6 +14,10 @@
   /** End of what the server has received. The server may not have applied all of it yet; a server
       that is promoted keeps all of it. */
   LogPosition receivedPosition;
+  /** Term in which the server itself leads or receives. */
+  std::uint64_t term = 0;
+  /** Term for which the server has been paused; 0 if it receives. */
+  std::uint64_t pausedTerm = 0;
 };
 
 } // namespace mustardshift::proxy
--- a/packages/proxy/tests/FakeNetwork.cpp
+++ b/packages/proxy/tests/FakeNetwork.cpp
@@ -37,7 +37,9 @@
 ServerStatus FakeServer::Status() const
 {
   return { std::max(this->position.term, this->pausedTerm),
-           this->receivedPosition.value_or(this->position) };
+           this->receivedPosition.value_or(this->position),
+           this->position.term,
+           this->pausedTerm };
 }
 
 FakeNetwork::Link::Link(FakeNetwork& aNetwork, FakeServer& aServer, OrganisationName aOrganisation)
--- a/packages/proxy/tests/FleetSimulation.cpp
+++ b/packages/proxy/tests/FleetSimulation.cpp
@@ -71,6 +71,12 @@
     FailLater(this->scheduler, this->store.now, aHandler, lost);
     return;
   }
+  if (this->unwritableTable == aChange.table) {
+    this->scheduler.Schedule(
+      this->store.now + FakeStore::kAnswerTime,
+      [handler = aHandler](Instant aNow) { handler(aNow, tl::unexpected(StoreFailure::Refused)); });
+    return;
+  }
   if (this->losesAnswers) {
     this->store.Write(aChange, [](Instant, const auto&) {});
     FailLater(this->scheduler, this->store.now, aHandler, lost);
@@ -297,6 +303,13 @@
   this->network.Server(aId).isUnresponsive = true;
 }
 
+void FleetSimulation::RestoreServer(const std::string& aId)
+{
+  this->crashedServers.erase(aId);
+  this->network.Server(aId).isUnresponsive = false;
+  this->WriteServers();
+}
+
 void FleetSimulation::RunStatement(std::size_t aVm,
                                    const std::string& aDatabase,
                                    const std::string& aKey,
--- a/packages/proxy/tests/FleetSimulation.h
+++ b/packages/proxy/tests/FleetSimulation.h
@@ -35,6 +35,8 @@
   bool isDisconnected = false;
   /** Reads and watches of this table get no answer. */
   std::string unansweredTable;
+  /** Writes of this table are refused. */
+  std::string unwritableTable;
   /** Whether writes are applied but their answers are lost. */
   bool losesAnswers = false;
 
@@ -150,6 +152,8 @@
   /** Writes the current role of each server that has not crashed to the table of servers. */
   void WriteServers();
   void CrashServer(const std::string& aId);
+  /** Lets a crashed server answer and write its entry again, with the log that it had. */
+  void RestoreServer(const std::string& aId);
   /** Opens a session and executes one statement in it; aDone receives the reply. */
   void RunStatement(std::size_t aVm,
                     const std::string& aDatabase,
--- a/packages/proxy/tests/SyncReplicaPromotionTest.cpp
+++ b/packages/proxy/tests/SyncReplicaPromotionTest.cpp
@@ -56,6 +56,7 @@
   CPPUNIT_TEST(BusyReplicasAreAskedAgain);
   CPPUNIT_TEST(ALivePrimaryAcknowledgesNothingDuringThePromotion);
   CPPUNIT_TEST(APauseEndsWithoutAPromotion);
+  CPPUNIT_TEST(AnOrderWithoutAnswerIsNeverGivenUp);
   CPPUNIT_TEST(CandidatesAreChosenByWhatIsKnown);
   CPPUNIT_TEST_SUITE_END();
 
@@ -253,6 +254,88 @@
     });
   }
 
+  /** Guards against replicas that receive commits while an order to promote one of them may still
+      be carried out: the promoted one would lack them. */
+  void AnOrderWithoutAnswerIsNeverGivenUp()
+  {
+    const auto crashPrimaryUntilOrdered = [](SyncFleet& aFleet, Duration aExecutionDelay) {
+      aFleet.orders.executionDelay = aExecutionDelay;
+      aFleet.CrashServer("s1");
+      const Instant crashedAt = aFleet.now;
+      while (aFleet.orders.sentOrders.empty() && aFleet.now - crashedAt < seconds(5)) {
+        aFleet.Advance(milliseconds(10));
+      }
+      CPPUNIT_ASSERT_EQUAL(std::size_t(1), aFleet.orders.sentOrders.size());
+      aFleet.orders.executionDelay.reset();
+    };
+    const auto arePaused = [](SyncFleet& aFleet) {
+      return aFleet.network.Server("s2").pausedTerm != 0 &&
+             aFleet.network.Server("s3").pausedTerm != 0;
+    };
+    const auto advanceUntilPromoted = [&](SyncFleet& aFleet) {
+      const Instant begin = aFleet.now;
+      while (aFleet.network.Server("s1").position.term == 1 && aFleet.now - begin < seconds(10)) {
+        CPPUNIT_ASSERT(arePaused(aFleet));
+        aFleet.Advance(milliseconds(10));
+      }
+      CPPUNIT_ASSERT(!aFleet.network.Server("s1").isPrimary);
+    };
+    Section("when the primary is back before the order's time limit", [&] {
+      SyncFleet fleet(20);
+      crashPrimaryUntilOrdered(fleet, milliseconds(3100));
+      fleet.Advance(milliseconds(1300));
+      fleet.RestoreServer("s1");
+      advanceUntilPromoted(fleet);
+      Section("the replicas receive from the new primary", [&] {
+        fleet.Advance(seconds(4));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), fleet.network.Server("s2").pausedTerm);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), fleet.network.Server("s3").pausedTerm);
+      });
+      Section("and the next promotion is a new one", [&] {
+        const std::size_t orderCount = fleet.orders.sentOrders.size();
+        fleet.Advance(seconds(10));
+        CPPUNIT_ASSERT_EQUAL(orderCount, fleet.orders.sentOrders.size());
+        fleet.CrashServer(fleet.Promoted());
+        fleet.Advance(seconds(5));
+        CPPUNIT_ASSERT_EQUAL(orderCount + 1, fleet.orders.sentOrders.size());
+      });
+    });
+    Section("when the holder of the lease stops after it has sent the order", [&] {
+      SyncFleet fleet(21);
+      crashPrimaryUntilOrdered(fleet, seconds(9));
+      fleet.Kill(0);
+      fleet.Advance(milliseconds(800));
+      fleet.RestoreServer("s1");
+      advanceUntilPromoted(fleet);
+      Section("the next holder ends the promotion before that order is carried out", [&] {
+        CPPUNIT_ASSERT(fleet.orders.acceptedOrders.at(0).holder == VmId("vm-1"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), fleet.orders.acceptedOrders.size());
+      });
+    });
+    Section("an order is not sent if it can't be stored as open", [&] {
+      SyncFleet fleet(22);
+      for (auto& vm : fleet.vms) {
+        vm.store->unwritableTable = "promotions";
+      }
+      fleet.CrashServer("s1");
+      fleet.Advance(seconds(5));
+      CPPUNIT_ASSERT(fleet.orders.sentOrders.empty());
+      fleet.RestoreServer("s1");
+      fleet.Advance(seconds(2));
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), fleet.network.Server("s2").pausedTerm);
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), fleet.network.Server("s3").pausedTerm);
+    });
+    Section("groups whose commits are acknowledged without replicas store nothing", [&] {
+      FleetSimulation fleet(4, 23);
+      for (auto& vm : fleet.vms) {
+        vm.store->unwritableTable = "promotions";
+      }
+      fleet.CrashServer("s1");
+      fleet.Advance(seconds(5));
+      CPPUNIT_ASSERT_EQUAL(std::size_t(1), fleet.orders.acceptedOrders.size());
+    });
+  }
+
   void CandidatesAreChosenByWhatIsKnown()
   {
     const ServerId first("s2");
