Demote an unreachable primary through the VMs that reach it

Cause: the replicas were chosen and paused once, before the order. A server that was listed later was neither asked nor paused, and only a primary that was leaving was demoted, so that the old primary acknowledged commits until the moment of the takeover.

Change: before the order, the holder of the promotion lease asks all VMs that may reach the primary, by datagram, to demote it (PrimaryDemoter); one that succeeds is enough. After that the replicas are asked again, with those that have been listed since, and while the order is open each replica that appears is paused. The demotion comes before the pause: commits that wait for a paused replica hold all connections to the primary. Its term is the one after the primary's own, so that a command that is carried out late spares the next primary.

A promotion is now stored as open before the pause, so a pause always ends with a promotion.

--- a/packages/proxy/SessionProxy.h
+++ b/packages/proxy/SessionProxy.h
@@ -15,6 +15,7 @@
 #include "proxy/pool/ServerHealth.h"
 #include "proxy/pool/ServerPool.h"
 #include "proxy/position/PositionExchange.h"
+#include "proxy/promotion/PrimaryDemoter.h"
 #include "proxy/promotion/PromotionDriver.h"
 #include "proxy/promotion/ServerProber.h"
 #include "proxy/rate/OrganisationBuckets.h"
@@ -89,8 +90,20 @@
     , buckets(this->settings.vm, this->settings.rateTolerance)
     , pool(aNetwork, this->cluster, this->health, aScheduler, aLog)
     , prober(this->pool, this->cluster, this->health, this->positions, aScheduler)
+    , demoter(this->settings.vm,
+              this->settings.peerAddress,
+              this->settings.incarnation,
+              this->pool,
+              aMessenger,
+              this->fleet,
+              this->cluster,
+              this->health,
+              aScheduler,
+              aLog,
+              [this] { return this->attachment.AttachedAddresses(); })
     , driver(this->settings.vm,
              this->pool,
+             this->demoter,
              aStore,
              aOrders,
              this->cluster,
@@ -223,7 +236,7 @@
   {
     if (!this->tokenExchange.OnDatagram(aNow, aBytes) &&
         !this->positionExchange.OnDatagram(aNow, aBytes) &&
-        !this->attachment.OnDatagram(aNow, aBytes)) {
+        !this->attachment.OnDatagram(aNow, aBytes) && !this->demoter.OnDatagram(aNow, aBytes)) {
       this->log.Write(
         aNow, "peer", "malformed-datagram", { { "bytes", std::to_string(aBytes.size()) } });
     }
@@ -410,6 +423,7 @@
       }
       this->cluster.PutServer(*server, aNow);
     }
+    this->driver.OnServersChanged(aNow);
   }
 
   void ScheduleRemoval(Instant aNow, const ServerId& aId)
@@ -483,7 +497,8 @@
   FleetView fleet;
   ServerPool<Network> pool;
   ServerProber<Network> prober;
-  PromotionDriver<Network, Store, Orders> driver;
+  PrimaryDemoter<Network, Messenger> demoter;
+  PromotionDriver<Network, Store, Orders, Messenger> driver;
   Throttler throttler;
   TokenExchange<Messenger> tokenExchange;
   PositionExchange<Messenger> positionExchange;
--- a/packages/proxy/coordination/AttachmentExchange.h
+++ b/packages/proxy/coordination/AttachmentExchange.h
@@ -197,6 +197,19 @@
       }));
   }
 
+  /** Addresses for datagrams to the VMs that are attached to this member. Precondition: none.
+      Thread safety: as for the object. */
+  std::vector<std::string> AttachedAddresses() const
+  {
+    std::vector<std::string> addresses;
+    for (const auto& [vm, follower] : this->followers) {
+      if (!follower.isMember) {
+        addresses.push_back(follower.address);
+      }
+    }
+    return addresses;
+  }
+
   /** Whether a member has answered recently. Precondition: this VM asks members. */
   bool HasMember(Instant aNow) const { return aNow - this->answeredAt < kAnswerValidity; }
 
--- a/packages/proxy/promotion/PromotionDriver.h
+++ b/packages/proxy/promotion/PromotionDriver.h
@@ -8,6 +8,7 @@
 #include "proxy/log/EventLog.h"
 #include "proxy/pool/ServerPool.h"
 #include "proxy/promotion/ChooseCandidate.h"
+#include "proxy/promotion/PrimaryDemoter.h"
 #include "proxy/promotion/PromotionOrderSender.h"
 #include "proxy/promotion/PromotionReason.h"
 #include "proxy/promotion/PromotionRecord.h"
@@ -36,16 +37,26 @@
     take effect after a later one. The holder keeps the lease as long as it renews its own row in
     the fleet table, and sends orders only until the lease expires.
 
-    In groups whose commits are acknowledged once replicas have received them, the replicas are
-    paused before the choice, and a primary that is leaving is demoted before the order: it then
-    can't acknowledge commits that the promoted replica lacks. Before the order, the promotion is
-    stored as open (PromotionRecord). An order without an answer may be carried out seconds later,
-    so an open promotion is never given up: the replicas stay paused, and the holder of the lease
-    sends orders until another server leads the group. A promotion ends the pause; where none
-    follows, the holder ends it.
+    In groups whose commits are acknowledged once replicas have received them, a promotion has these
+    steps, so that the old primary can't acknowledge a commit that the promoted replica lacks:
+
+    1. The replicas are asked for their positions. If too few answer, the attempt ends.
+    2. The promotion is stored as open (PromotionRecord). An order without an answer may be carried
+       out seconds later, so an open promotion is never given up: the holder of the lease repeats
+       the steps until another server leads the group.
+    3. The primary is demoted by a VM that reaches it. This comes before the pause, during which
+       commits that wait for replicas hold the connections to the primary.
+    4. The replicas are asked again, with those that have been listed since, and paused. A primary
+       that no VM reaches can't acknowledge commits through a paused replica.
+    5. The order is sent. Until another server leads, each replica that appears is paused.
+
+    A promotion ends the pause; where none follows, the holder ends it.
 
     Thread safety: none; one thread owns the object. */
-template<DatabaseNetwork Network, TableStore Store, PromotionOrderSender Orders>
+template<DatabaseNetwork Network,
+         TableStore Store,
+         PromotionOrderSender Orders,
+         PeerMessenger Messenger>
 class PromotionDriver
 {
 public:
@@ -57,10 +68,14 @@
   /** Interval at which the replicas of a group that needs no new primary are checked for a pause.
       Covers a pause command of an earlier holder that arrived late. */
   static constexpr Duration kResumeInterval = std::chrono::seconds(30);
+  /** Time between the demotion of a primary that still served and the final positions. A replica
+      that confirmed a commit just before the demotion is listed by then. */
+  static constexpr Duration kListingDelay = std::chrono::milliseconds(100);
 
   /** All arguments have to outlive the driver. */
   PromotionDriver(VmId aSelf,
                   ServerPool<Network>& aPool,
+                  PrimaryDemoter<Network, Messenger>& aDemoter,
                   Store& aStore,
                   Orders& aOrders,
                   ClusterState& aCluster,
@@ -73,7 +88,9 @@
     , orders(aOrders)
     , cluster(aCluster)
     , fleet(aFleet)
+    , scheduler(aScheduler)
     , log(aLog)
+    , demoter(aDemoter)
     , poller(aPool, aCluster, aHealth, aScheduler)
     , records(aStore, aLog)
   {
@@ -114,6 +131,18 @@
     }
   }
 
+  /** Handles a change of the list of servers. Precondition: the ClusterState has it. Thread safety:
+     as for the object. */
+  void OnServersChanged(Instant aNow)
+  {
+    if (!this->IsHolder(aNow)) {
+      return;
+    }
+    for (const auto& [group, syncReplicas] : this->cluster.Configuration().syncReplicas) {
+      this->StepGroup(aNow, group);
+    }
+  }
+
   /** Whether any group needs a new primary; the fleet table is then read more often. */
   bool NeedsPromotion(Instant aNow) const
   {
@@ -128,9 +157,36 @@
 private:
   using Replies = typename ServerPoller<Network>::Replies;
 
+  /** State of the promotion in one group. */
+  struct GroupState
+  {
+    bool isRunning = false;
+    /** A command to resume is on its way to a replica; a pause could overtake it. */
+    bool isResuming = false;
+    Instant nextAttemptAt{};
+    PromotionCandidates candidates;
+    /** Servers whose promotion the platform has rejected since the group began to need a new
+        primary. */
+    std::set<ServerId> rejectedCandidates;
+    /** Newest term in which a replica receives. */
+    std::uint64_t ledTerm = 0;
+    /** Term above the newest one that the replicas know. */
+    std::uint64_t nextTerm = 0;
+    /** The primary that was listed last; empty if none was, or if it is a replica by now. */
+    ServerId latestPrimary;
+    /** Replicas that were told to pause, and that no promotion or command has resumed since. */
+    std::set<ServerId> pausedReplicas;
+    /** Instant from which the replicas are told to receive again, unless a primary is needed. */
+    Instant nextResumeAt{};
+  };
+
   void StepGroup(Instant aNow, const DatabaseName& aGroup)
   {
     GroupState& state = this->groupStates[aGroup];
+    this->NotePrimary(aGroup, state);
+    if (this->IsOrderOpen(aGroup) && !this->HasNewPrimary(aGroup)) {
+      this->PauseNewReplicas(aNow, aGroup);
+    }
     // Without the record it is unknown whether the replicas may receive.
     if (state.isRunning || state.isResuming ||
         (this->IsSynchronous(aGroup) && !this->records.IsLoaded())) {
@@ -164,6 +220,20 @@
     return this->records.Of(aGroup).isOrderOpen;
   }
 
+  /** Remembers the primary that was listed last, since its entry can be gone when it has to be
+      replaced. */
+  void NotePrimary(const DatabaseName& aGroup, GroupState& aState) const
+  {
+    if (const auto primary = this->cluster.PrimaryOf(aGroup)) {
+      aState.latestPrimary = *primary;
+      return;
+    }
+    const ServerRecord* server = this->cluster.Find(aState.latestPrimary);
+    if (server != nullptr && server->role == ServerRole::Replica) {
+      aState.latestPrimary = ServerId();
+    }
+  }
+
   /** Whether a server is listed as the primary that is not the one being replaced. */
   bool HasNewPrimary(const DatabaseName& aGroup) const
   {
@@ -171,27 +241,6 @@
     return primary && *primary != this->records.Of(aGroup).primary;
   }
 
-  /** State of the promotion in one group. */
-  struct GroupState
-  {
-    bool isRunning = false;
-    /** A command to resume is on its way to a replica; a pause could overtake it. */
-    bool isResuming = false;
-    Instant nextAttemptAt{};
-    PromotionCandidates candidates;
-    /** Servers whose promotion the platform has rejected since the group began to need a new
-        primary. */
-    std::set<ServerId> rejectedCandidates;
-    /** Newest term in which a replica receives. */
-    std::uint64_t ledTerm = 0;
-    /** Term above the newest one that the replicas know. */
-    std::uint64_t nextTerm = 0;
-    /** Replicas that were told to pause, and that no promotion or command has resumed since. */
-    std::set<ServerId> pausedReplicas;
-    /** Instant from which the replicas are told to receive again, unless a primary is needed. */
-    Instant nextResumeAt{};
-  };
-
   void LogHolderChange(Instant aNow)
   {
     const auto& lease = this->fleet.PromotionLease();
@@ -392,72 +441,24 @@
     }
     state.ledTerm = ledTerm;
     state.nextTerm = newestTerm + 1;
-    this->PauseReplicas(aNow, aGroup);
-  }
-
-  void PauseReplicas(Instant aNow, const DatabaseName& aGroup)
-  {
-    GroupState& state = this->groupStates[aGroup];
-    state.nextResumeAt = aNow;
-    std::set<ServerId> replicas;
-    for (const auto& [replica, position] : state.candidates.receivedPositions) {
-      replicas.insert(replica);
-    }
-    state.pausedReplicas.insert(replicas.begin(), replicas.end());
-    this->log.WriteAlways(aNow,
-                          "promotion",
-                          "pausing",
-                          { { "group", aGroup.Text() },
-                            { "term", std::to_string(state.nextTerm) },
-                            { "positions", PositionsText(state.candidates) } });
-    ServerCommand pause;
-    pause.kind = ServerCommandKind::Pause;
-    pause.term = state.nextTerm;
-    this->poller.Run(
-      aNow, replicas, pause, true, [this, aGroup](Instant aThen, const Replies& aReplies) {
-        this->OnPaused(aThen, aGroup, aReplies);
-      });
-  }
-
-  void OnPaused(Instant aNow, const DatabaseName& aGroup, const Replies& aReplies)
-  {
-    PromotionCandidates& candidates = this->groupStates[aGroup].candidates;
-    const auto positionsBefore = std::exchange(candidates.receivedPositions, {});
-    for (const auto& [replica, reply] : aReplies) {
-      // A replica that refuses goes on receiving; its status is the best that is known of it.
-      if (!reply.serverStatus) {
-        this->log.WriteAlways(aNow,
-                              "promotion",
-                              "not-paused",
-                              { { "group", aGroup.Text() },
-                                { "replica", replica.Text() },
-                                { "error", std::string(NameOf(kErrorCodeNames, reply.error)) } });
-      }
-      candidates.receivedPositions[replica] =
-        reply.serverStatus ? reply.serverStatus->receivedPosition : positionsBefore.at(replica);
-    }
-    if (const std::optional<ServerId> candidate = this->Decide(aNow, aGroup)) {
-      this->OpenRecord(aNow, aGroup, *candidate);
-    } else if (this->IsHolder(aNow)) {
-      this->ResumeReplicas(aNow, aGroup);
-    }
+    this->OpenRecord(aNow, aGroup);
   }
 
   /** Stores that an order may be carried out from now on, then demotes the primary and sends the
       order. */
-  void OpenRecord(Instant aNow, const DatabaseName& aGroup, const ServerId& aCandidate)
+  void OpenRecord(Instant aNow, const DatabaseName& aGroup)
   {
     if (this->IsOrderOpen(aGroup)) {
-      this->DemotePrimary(aNow, aGroup, aCandidate);
+      this->DemotePrimary(aNow, aGroup);
       return;
     }
     PromotionRecord record;
-    record.primary = this->cluster.PrimaryOf(aGroup).value_or(ServerId());
+    record.primary = this->groupStates[aGroup].latestPrimary;
     record.term = this->groupStates[aGroup].ledTerm;
     record.isOrderOpen = true;
-    this->records.Write(aGroup, record, [this, aGroup, aCandidate](Instant aThen, bool aIsStored) {
+    this->records.Write(aGroup, record, [this, aGroup](Instant aThen, bool aIsStored) {
       if (aIsStored && this->IsHolder(aThen)) {
-        this->DemotePrimary(aThen, aGroup, aCandidate);
+        this->DemotePrimary(aThen, aGroup);
       } else {
         this->EndAttempt(aThen, aGroup, kFailedPause);
       }
@@ -479,39 +480,173 @@
     });
   }
 
-  /** Demotes a primary that still serves, then orders the promotion. The primary could acknowledge
-      commits through a replica that is not listed, for example one that is just coming back. */
-  void DemotePrimary(Instant aNow, const DatabaseName& aGroup, const ServerId& aCandidate)
+  /** Demotes the primary, which may still serve some VMs, then collects the final positions. */
+  void DemotePrimary(Instant aNow, const DatabaseName& aGroup)
   {
-    const GroupState& state = this->groupStates[aGroup];
-    const std::optional<ServerId> primary = this->cluster.PrimaryOf(aGroup);
-    if (!state.candidates.isPrimaryServing || !primary) {
-      this->Order(aGroup, aCandidate);
+    const std::optional<ServerId> primary = this->ReplacedPrimary(aGroup);
+    if (!primary || this->cluster.Find(*primary) == nullptr) {
+      this->CollectFinalPositions(aNow, aGroup, false);
       return;
     }
-    ServerCommand demote;
-    demote.kind = ServerCommandKind::Demote;
-    demote.term = state.nextTerm;
-    this->poller.Run(
-      aNow,
-      { *primary },
-      demote,
-      true,
-      [this, aGroup, aCandidate, primary = *primary](Instant aThen, const Replies& aReplies) {
-        const auto reply = aReplies.find(primary);
-        this->log.WriteAlways(
-          aThen,
-          "promotion",
-          "demoted",
-          { { "group", aGroup.Text() },
-            { "primary", primary.Text() },
-            { "result",
-              reply == aReplies.end() ? std::string("no-answer")
-              : reply->second.serverStatus
-                ? std::string("done")
-                : std::string(NameOf(kErrorCodeNames, reply->second.error)) } });
-        this->Order(aGroup, aCandidate);
-      });
+    this->demoter.Demote(aNow,
+                         aGroup,
+                         *primary,
+                         this->groupStates[aGroup].ledTerm + 1,
+                         [this, aGroup](Instant aThen, bool aIsDemoted) {
+                           if (!aIsDemoted) {
+                             this->CollectFinalPositions(aThen, aGroup, false);
+                             return;
+                           }
+                           this->scheduler.Schedule(
+                             aThen + kListingDelay, [this, aGroup](Instant aLater) {
+                               this->CollectFinalPositions(aLater, aGroup, true);
+                             });
+                         });
+  }
+
+  /** Asks all replicas that are listed by now, and pauses those that receive.
+      @param aIsDemoted  whether the old primary can't acknowledge commits any more. */
+  void CollectFinalPositions(Instant aNow, const DatabaseName& aGroup, bool aIsDemoted)
+  {
+    GroupState& state = this->groupStates[aGroup];
+    state.candidates = this->FindReplicas(aGroup, std::nullopt);
+    const std::set<ServerId> replicas = this->ReplicasOf(aGroup);
+    if (replicas.empty()) {
+      this->EndAttempt(aNow, aGroup, kFailedPause);
+      return;
+    }
+    ServerCommand status;
+    status.kind = ServerCommandKind::Status;
+    this->poller.Run(aNow,
+                     replicas,
+                     status,
+                     true,
+                     [this, aGroup, aIsDemoted](Instant aThen, const Replies& aReplies) {
+                       this->OnFinalStatus(aThen, aGroup, aIsDemoted, aReplies);
+                     });
+  }
+
+  void OnFinalStatus(Instant aNow,
+                     const DatabaseName& aGroup,
+                     bool aIsDemoted,
+                     const Replies& aReplies)
+  {
+    GroupState& state = this->groupStates[aGroup];
+    std::set<ServerId> receiving;
+    for (const auto& [replica, reply] : aReplies) {
+      if (!reply.serverStatus) {
+        continue;
+      }
+      state.candidates.receivedPositions[replica] = reply.serverStatus->receivedPosition;
+      state.nextTerm = std::max(state.nextTerm, reply.serverStatus->newestTerm + 1);
+      if (reply.serverStatus->pausedTerm == 0) {
+        receiving.insert(replica);
+      }
+    }
+    if (receiving.empty()) {
+      this->OrderIfDecided(aNow, aGroup);
+      return;
+    }
+    this->SendPause(aNow,
+                    aGroup,
+                    receiving,
+                    [this, aGroup, aIsDemoted, positions = state.candidates.receivedPositions](
+                      Instant aThen, bool areAllPaused) {
+                      if (aIsDemoted) {
+                        // Nothing was acknowledged since these positions.
+                        this->groupStates[aGroup].candidates.receivedPositions.insert(
+                          positions.begin(), positions.end());
+                      }
+                      if (areAllPaused || aIsDemoted) {
+                        this->OrderIfDecided(aThen, aGroup);
+                      } else {
+                        this->EndAttempt(aThen, aGroup, kFailedPause);
+                      }
+                    });
+  }
+
+  void OrderIfDecided(Instant aNow, const DatabaseName& aGroup)
+  {
+    if (const std::optional<ServerId> candidate = this->Decide(aNow, aGroup)) {
+      this->Order(aGroup, *candidate);
+    }
+  }
+
+  /** Pauses replicas and updates their positions.
+      @param aHandler  receives whether all of them are paused. */
+  void SendPause(Instant aNow,
+                 const DatabaseName& aGroup,
+                 const std::set<ServerId>& aReplicas,
+                 std::function<void(Instant, bool)> aHandler)
+  {
+    GroupState& state = this->groupStates[aGroup];
+    state.pausedReplicas.insert(aReplicas.begin(), aReplicas.end());
+    this->log.WriteAlways(aNow,
+                          "promotion",
+                          "pausing",
+                          { { "group", aGroup.Text() },
+                            { "term", std::to_string(state.nextTerm) },
+                            { "positions", PositionsText(state.candidates) } });
+    ServerCommand pause;
+    pause.kind = ServerCommandKind::Pause;
+    pause.term = state.nextTerm;
+    this->poller.Run(aNow,
+                     aReplicas,
+                     pause,
+                     true,
+                     [this, aGroup, aReplicas, handler = std::move(aHandler)](
+                       Instant aThen, const Replies& aReplies) {
+                       GroupState& state = this->groupStates[aGroup];
+                       bool areAllPaused = true;
+                       for (const ServerId& replica : aReplicas) {
+                         const auto reply = aReplies.find(replica);
+                         const bool isPaused =
+                           reply != aReplies.end() && reply->second.serverStatus;
+                         areAllPaused = areAllPaused && isPaused;
+                         if (isPaused) {
+                           state.candidates.receivedPositions[replica] =
+                             reply->second.serverStatus->receivedPosition;
+                           continue;
+                         }
+                         // A replica that refuses goes on receiving; its status is the best that is
+                         // known of it.
+                         if (reply == aReplies.end()) {
+                           state.candidates.receivedPositions.erase(replica);
+                         }
+                         this->log.WriteAlways(
+                           aThen,
+                           "promotion",
+                           "not-paused",
+                           { { "group", aGroup.Text() },
+                             { "replica", replica.Text() },
+                             { "error",
+                               reply == aReplies.end()
+                                 ? std::string("no answer")
+                                 : std::string(NameOf(kErrorCodeNames, reply->second.error)) } });
+                       }
+                       handler(aThen, areAllPaused);
+                     });
+  }
+
+  /** Pauses replicas that have been listed since the pause, while an order is open. */
+  void PauseNewReplicas(Instant aNow, const DatabaseName& aGroup)
+  {
+    GroupState& state = this->groupStates[aGroup];
+    std::set<ServerId> replicas = this->ReplicasOf(aGroup);
+    for (const ServerId& paused : state.pausedReplicas) {
+      replicas.erase(paused);
+    }
+    if (replicas.empty() || state.nextTerm == 0) {
+      return;
+    }
+    this->SendPause(aNow, aGroup, replicas, [this, aGroup, replicas](Instant, bool areAllPaused) {
+      // Those that did not answer are told again with the next step.
+      if (!areAllPaused) {
+        for (const ServerId& replica : replicas) {
+          this->groupStates[aGroup].pausedReplicas.erase(replica);
+        }
+      }
+    });
   }
 
   /** Tells the replicas of a group with acknowledging replicas to receive again, if this is due and
@@ -676,7 +811,9 @@
   Orders& orders;
   ClusterState& cluster;
   FleetView& fleet;
+  Scheduler& scheduler;
   EventLog& log;
+  PrimaryDemoter<Network, Messenger>& demoter;
   ServerPoller<Network> poller;
   PromotionRecords<Store> records;
   /** Instant from which a failed read of the records is repeated. */
--- a/packages/proxy/statement/ServerStatus.h
+++ b/packages/proxy/statement/ServerStatus.h
@@ -18,6 +18,8 @@
   std::uint64_t term = 0;
   /** Term for which the server has been paused; 0 if it receives. */
   std::uint64_t pausedTerm = 0;
+  /** Whether the server leads its group, as far as it knows. */
+  bool isPrimary = false;
 };
 
 } // namespace mustardshift::proxy
--- a/packages/proxy/tests/FakeNetwork.h
+++ b/packages/proxy/tests/FakeNetwork.h
@@ -122,6 +122,8 @@
     bool isReadWriteTransaction = false;
     bool hasWritten = false;
     bool isOpen = true;
+    /** What is sent gets no answer. */
+    bool isCut = false;
     /** Lets scheduled events detect that the link has been destroyed. */
     std::shared_ptr<bool> exists = std::make_shared<bool>(true);
   };
@@ -141,6 +143,16 @@
   /** Makes a server the primary of its group's next term and keeps the log of this server. The
       other servers of the group lose log entries that it does not have. */
   void Promote(const std::string& aId);
+  /** Makes links lose all that is sent on them, or carry it again. Ignores links that have been
+      destroyed. */
+  void SetCut(const std::set<Link*>& aLinks, bool aIsCut)
+  {
+    for (Link* link : this->links) {
+      if (aLinks.contains(link)) {
+        link->isCut = aIsCut;
+      }
+    }
+  }
   /** Breaks all open connections of a server. */
   void BreakConnections(Instant aNow, const std::string& aId);
 
--- a/packages/proxy/tests/PeerMessageTest.cpp
+++ b/packages/proxy/tests/PeerMessageTest.cpp
@@ -3,6 +3,8 @@
 #include "proxy/coordination/MemberRow.h"
 #include "proxy/coordination/PromotionLeaseRow.h"
 #include "proxy/position/PositionMessage.h"
+#include "proxy/promotion/DemotionMessage.h"
+#include "proxy/promotion/PromotionRecord.h"
 #include "proxy/rate/TokenMessage.h"
 #include "support/Section.h"
 
@@ -57,6 +59,18 @@
          { question, memberQuestion, reply, notice, confirmation }) {
       CPPUNIT_ASSERT(DecodeAttachmentMessage(EncodeAttachmentMessage(message)) == message);
     }
+    const DemotionMessage demotion =
+      DemotionRequest{ "10.0.0.1:7", 7, 8, DatabaseName("fittings"), ServerId("s1"), 4, true };
+    const DemotionMessage demoted = DemotionAnswer{ 7, 8, VmId("vm-2"), true };
+    for (const DemotionMessage& message : { demotion, demoted }) {
+      CPPUNIT_ASSERT(DecodeDemotionMessage(EncodeDemotionMessage(message)) == message);
+      CPPUNIT_ASSERT(!DecodePositionMessage(EncodeDemotionMessage(message)));
+      CPPUNIT_ASSERT(!DecodeTokenMessage(EncodeDemotionMessage(message)));
+      CPPUNIT_ASSERT(!DecodeAttachmentMessage(EncodeDemotionMessage(message)));
+    }
+    for (const PositionMessage& message : { request, answer }) {
+      CPPUNIT_ASSERT(!DecodeDemotionMessage(EncodePositionMessage(message)));
+    }
     Section("each kind of message is accepted by its own decoder only", [&] {
       for (const PositionMessage& message : { request, answer }) {
         CPPUNIT_ASSERT(!DecodeAttachmentMessage(EncodePositionMessage(message)));
@@ -151,6 +165,18 @@
               { "unreachable", json::array() } },
             isAccepted(DecodeMemberRow));
     rejects({ { "holder", "vm-1" }, { "fence", 1 } }, isAccepted(DecodePromotionLeaseRow));
+    rejects({ { "primary", "s1" }, { "term", 4 }, { "open", true } },
+            isAccepted(DecodePromotionRecord));
+    rejects({ { "demote", "s1" },
+              { "group", "g" },
+              { "term", 4 },
+              { "reply_to", "a" },
+              { "incarnation", 1 },
+              { "number", 2 },
+              { "forward", true } },
+            isAccepted(DecodeDemotionMessage));
+    rejects({ { "demoted", true }, { "vm", "vm-2" }, { "incarnation", 1 }, { "number", 2 } },
+            isAccepted(DecodeDemotionMessage));
     Section("the largest age that a message can state is no negative one", [&] {
       json late = answer;
       late["confirmed_us"] = std::numeric_limits<std::uint64_t>::max();
@@ -176,17 +202,21 @@
       EncodeAttachmentMessage(
         AttachmentRequest{ VmId("vm-1"), "10.0.0.1:7", FailureDomainName("d-1"), 7, 8 }),
       EncodeAttachmentMessage(ConfirmationNotice{ 7, 8, 12, milliseconds(300) }),
+      EncodeDemotionMessage(
+        DemotionRequest{ "10.0.0.1:7", 7, 8, DatabaseName("fittings"), ServerId("s1"), 4, true }),
     };
     for (const std::string& message : messages) {
       for (std::size_t length = 0; length < message.size(); ++length) {
         CPPUNIT_ASSERT(!DecodePositionMessage(message.substr(0, length)));
         CPPUNIT_ASSERT(!DecodeAttachmentMessage(message.substr(0, length)));
+        CPPUNIT_ASSERT(!DecodeDemotionMessage(message.substr(0, length)));
       }
       for (int round = 0; round < 2000; ++round) {
         std::string damaged = message;
         damaged[random() % damaged.size()] = static_cast<char>(random());
         DecodePositionMessage(damaged);
         DecodeAttachmentMessage(damaged);
+        DecodeDemotionMessage(damaged);
       }
     }
   }
