Let silent replicas count for a promotion when their entries have lapsed

Callers saw acknowledged writes disappear in groups with sync_replicas: one replica received nothing for a while, the other one, which alone had confirmed the latest commits, fell silent, then the primary did.

Cause: the number of answers that a promotion needs went by the servers that were listed at that moment. An entry lapses after three heartbeats of silence, so a server that may come back with the only copy of a commit no longer counted.

Change: the stored record of the group names the replicas that count (UpdateReplicas), as the holder of the promotion lease sees them listed. A replica stops counting when its entry is gone after it announced that it leaves, when a new process has taken its id, when another server leads the next term, or when enough of the others were seen to have received all that the primary had after the replica fell silent; the holder checks this once a second while a replica is silent. A replica that comes back is asked at once, and the promotion of a primary whose entry lapses while it is unreachable does not wait another 2.5 s.

--- a/packages/proxy/promotion/ChooseCandidate.h
+++ b/packages/proxy/promotion/ChooseCandidate.h
@@ -21,7 +21,7 @@
   std::map<ServerId, LogPosition> receivedPositions;
   /** Replicas that may be given new work. */
   std::set<ServerId> readyReplicas;
-  /** Number of listed replicas, whether or not they have answered. */
+  /** Number of replicas that may hold acknowledged commits, whether or not they have answered. */
   std::size_t replicaCount = 0;
   /** Number of replicas that have received a commit before it is acknowledged. */
   std::size_t syncReplicas = 0;
--- a/packages/proxy/promotion/PromotionDriver.h
+++ b/packages/proxy/promotion/PromotionDriver.h
@@ -52,6 +52,10 @@
 
     A promotion ends the pause; where none follows, the holder ends it.
 
+    A replica that is silent may hold commits that were acknowledged through it alone. It therefore
+    goes on counting when its entry has lapsed (UpdateReplicas()), until enough of the others were
+    seen to have received what the primary had after that.
+
     Thread safety: none; one thread owns the object. */
 template<DatabaseNetwork Network,
          TableStore Store,
@@ -71,6 +75,10 @@
   /** Time between the demotion of a primary that still served and the final positions. A replica
       that confirmed a commit just before the demotion is listed by then. */
   static constexpr Duration kListingDelay = std::chrono::milliseconds(100);
+  /** Interval between the checks whether the other replicas have all that a silent one can hold. */
+  static constexpr Duration kAbsenceCheckInterval = std::chrono::seconds(1);
+  /** Time in which a replica receives what the primary had when it was asked. */
+  static constexpr Duration kCatchUpDelay = std::chrono::milliseconds(250);
 
   /** All arguments have to outlive the driver. */
   PromotionDriver(VmId aSelf,
@@ -139,6 +147,11 @@
       return;
     }
     for (const auto& [group, syncReplicas] : this->cluster.Configuration().syncReplicas) {
+      GroupState& state = this->groupStates[group];
+      if (std::exchange(state.isWaitingForReplicas, false)) {
+        // One that was missing may be back.
+        state.nextAttemptAt = aNow;
+      }
       this->StepGroup(aNow, group);
     }
   }
@@ -174,6 +187,13 @@
     std::uint64_t nextTerm = 0;
     /** The primary that was listed last; empty if none was, or if it is a replica by now. */
     ServerId latestPrimary;
+    /** Why the group needed a new primary when this was last checked. */
+    std::optional<PromotionReason> latestReason;
+    /** The latest attempt ended because too few replicas had answered. */
+    bool isWaitingForReplicas = false;
+    /** Instant from which the replicas that count are stored again after a failed write. */
+    Instant nextStoreAt{};
+    Instant nextAbsenceCheckAt{};
     /** Replicas that were told to pause, and that no promotion or command has resumed since. */
     std::set<ServerId> pausedReplicas;
     /** Instant from which the replicas are told to receive again, unless a primary is needed. */
@@ -193,21 +213,196 @@
       return;
     }
     if (this->IsOrderOpen(aGroup) && this->HasNewPrimary(aGroup)) {
-      this->CloseRecord(aNow, aGroup);
+      // The promoted server has what was acknowledged before, so silent replicas no longer count.
+      this->CloseRecord(
+        aNow,
+        aGroup,
+        UpdateReplicas({}, this->ListedServers(aGroup), this->cluster.PrimaryOf(aGroup)));
+      return;
+    }
+    if (this->IsSynchronous(aGroup) && this->StoreReplicas(aNow, aGroup)) {
       return;
     }
     if (aNow < state.nextAttemptAt) {
       return;
     }
-    const auto reason = FindPromotionReason(aNow, aGroup, this->cluster, this->fleet);
+    const auto reason = this->FindReason(aNow, aGroup);
     if (!reason && !this->IsOrderOpen(aGroup)) {
       state.rejectedCandidates.clear();
       this->ResumeReplicas(aNow, aGroup);
+      this->CheckAbsentReplicas(aNow, aGroup);
       return;
     }
     this->CollectPositions(aNow, aGroup, reason);
   }
 
+  /** Why the group needs a new primary. If the entry of a primary lapses that had to be replaced,
+      this goes on without another delay. */
+  std::optional<PromotionReason> FindReason(Instant aNow, const DatabaseName& aGroup)
+  {
+    GroupState& state = this->groupStates[aGroup];
+    auto reason = FindPromotionReason(aNow, aGroup, this->cluster, this->fleet);
+    if (!reason && state.latestReason && this->cluster.WithoutPrimarySince(aGroup)) {
+      reason = PromotionReason::Missing;
+    }
+    state.latestReason = reason;
+    return reason;
+  }
+
+  std::vector<ServerRecord> ListedServers(const DatabaseName& aGroup) const
+  {
+    std::vector<ServerRecord> servers;
+    for (const ServerId& id : this->cluster.ServersOf(aGroup)) {
+      servers.push_back(*this->cluster.Find(id));
+    }
+    return servers;
+  }
+
+  /** The replicas that count for a promotion now. */
+  RecordedReplicas CurrentReplicas(const DatabaseName& aGroup) const
+  {
+    return UpdateReplicas(this->records.Of(aGroup).replicas,
+                          this->ListedServers(aGroup),
+                          this->ReplacedPrimary(aGroup));
+  }
+
+  /** Stores the primary and the replicas that count, if they have changed. Returns whether a write
+      was started. */
+  bool StoreReplicas(Instant aNow, const DatabaseName& aGroup)
+  {
+    if (aNow < this->groupStates[aGroup].nextStoreAt || !this->cluster.HasServerList()) {
+      return false;
+    }
+    PromotionRecord record = this->records.Of(aGroup);
+    record.replicas = this->CurrentReplicas(aGroup);
+    if (!record.isOrderOpen) {
+      record.primary = this->groupStates[aGroup].latestPrimary;
+    }
+    if (record == this->records.Of(aGroup)) {
+      return false;
+    }
+    this->WriteRecord(aNow, aGroup, record);
+    return true;
+  }
+
+  /** Writes a record outside a promotion; no attempt starts meanwhile, since writes of one row must
+      not overlap. */
+  void WriteRecord(Instant aNow, const DatabaseName& aGroup, const PromotionRecord& aRecord)
+  {
+    GroupState& state = this->groupStates[aGroup];
+    state.isRunning = true;
+    state.nextStoreAt = aNow + kFailedPause;
+    this->records.Write(aGroup, aRecord, [this, aGroup](Instant aThen, bool aIsStored) {
+      GroupState& state = this->groupStates[aGroup];
+      state.isRunning = false;
+      if (aIsStored) {
+        state.nextStoreAt = aThen;
+        this->StepGroupIfHolder(aThen, aGroup);
+      }
+    });
+  }
+
+  void StepGroupIfHolder(Instant aNow, const DatabaseName& aGroup)
+  {
+    if (this->IsHolder(aNow)) {
+      this->StepGroup(aNow, aGroup);
+    }
+  }
+
+  /** Finds out whether replicas that are silent still count: asks the primary for its position and,
+      after kCatchUpDelay, the listed replicas for theirs. */
+  void CheckAbsentReplicas(Instant aNow, const DatabaseName& aGroup)
+  {
+    GroupState& state = this->groupStates[aGroup];
+    const auto primary = this->cluster.PrimaryOf(aGroup);
+    const std::set<ServerId> absent = this->AbsentReplicas(aGroup);
+    if (absent.empty() || !primary || aNow < state.nextAbsenceCheckAt) {
+      return;
+    }
+    state.nextAbsenceCheckAt = aNow + kAbsenceCheckInterval;
+    ServerCommand status;
+    status.kind = ServerCommandKind::Status;
+    this->poller.Run(
+      aNow,
+      { *primary },
+      status,
+      true,
+      [this, aGroup, absent, status, primary = *primary](Instant aThen, const Replies& aReplies) {
+        const auto reply = aReplies.find(primary);
+        if (reply == aReplies.end() || !reply->second.serverStatus ||
+            !reply->second.serverStatus->isPrimary) {
+          return;
+        }
+        this->scheduler.Schedule(
+          aThen + kCatchUpDelay,
+          [this, aGroup, absent, status, position = reply->second.serverStatus->receivedPosition](
+            Instant aLater) {
+            const std::set<ServerId> replicas = this->ReplicasOf(aGroup);
+            if (replicas.empty()) {
+              return;
+            }
+            this->poller.Run(
+              aLater,
+              replicas,
+              status,
+              true,
+              [this, aGroup, absent, position](Instant aLast, const Replies& aPositions) {
+                this->ForgetIfReplaceable(aLast, aGroup, absent, position, aPositions);
+              });
+          });
+      });
+  }
+
+  std::set<ServerId> AbsentReplicas(const DatabaseName& aGroup) const
+  {
+    std::set<ServerId> absent;
+    for (const auto& [id, replica] : this->records.Of(aGroup).replicas) {
+      if (replica.presence == ReplicaPresence::Absent) {
+        absent.insert(id);
+      }
+    }
+    return absent;
+  }
+
+  /** Lets silent replicas no longer count if so many others have all that the primary had after
+      they fell silent that one of these answers before each promotion.
+      @param aPosition  end of the primary's log then. */
+  void ForgetIfReplaceable(Instant aNow,
+                           const DatabaseName& aGroup,
+                           const std::set<ServerId>& aAbsent,
+                           LogPosition aPosition,
+                           const Replies& aReplies)
+  {
+    const auto complete = std::count_if(aReplies.begin(), aReplies.end(), [&](const auto& aEntry) {
+      const auto& status = aEntry.second.serverStatus;
+      return status && status->receivedPosition >= aPosition;
+    });
+    const std::size_t needed =
+      std::min(this->SyncReplicasOf(aGroup), this->ReplicasOf(aGroup).size());
+    if (!this->IsHolder(aNow) || !this->records.IsLoaded() || this->IsOrderOpen(aGroup) ||
+        this->groupStates[aGroup].isRunning || std::cmp_less(complete, needed)) {
+      return;
+    }
+    PromotionRecord record = this->records.Of(aGroup);
+    std::erase_if(record.replicas, [&](const auto& aEntry) {
+      return aEntry.second.presence == ReplicaPresence::Absent && aAbsent.contains(aEntry.first);
+    });
+    this->log.WriteAlways(
+      aNow,
+      "promotion",
+      "silent-replicas-replaced",
+      { { "group", aGroup.Text() }, { "count", std::to_string(aAbsent.size()) } });
+    this->WriteRecord(aNow, aGroup, record);
+  }
+
+  std::size_t SyncReplicasOf(const DatabaseName& aGroup) const
+  {
+    const auto& syncReplicas = this->cluster.Configuration().syncReplicas;
+    const auto entry = syncReplicas.find(aGroup);
+    const std::size_t count = entry == syncReplicas.end() ? 0 : entry->second;
+    return this->IsOrderOpen(aGroup) ? std::max<std::size_t>(1, count) : count;
+  }
+
   /** Whether commits of the group are acknowledged once replicas have received them. An open
       promotion ends as it began, whatever the configuration says by then. */
   bool IsSynchronous(const DatabaseName& aGroup) const
@@ -228,6 +423,9 @@
       aState.latestPrimary = *primary;
       return;
     }
+    if (aState.latestPrimary.Text().empty()) {
+      aState.latestPrimary = this->records.Of(aGroup).primary;
+    }
     const ServerRecord* server = this->cluster.Find(aState.latestPrimary);
     if (server != nullptr && server->role == ServerRole::Replica) {
       aState.latestPrimary = ServerId();
@@ -357,31 +555,23 @@
   std::optional<ServerId> ReplacedPrimary(const DatabaseName& aGroup) const
   {
     const PromotionRecord& record = this->records.Of(aGroup);
-    return record.isOrderOpen && !record.primary.Text().empty() ? std::optional(record.primary)
-                                                                : this->cluster.PrimaryOf(aGroup);
+    const ServerId& primary =
+      record.isOrderOpen ? record.primary : this->groupStates.at(aGroup).latestPrimary;
+    return primary.Text().empty() ? std::nullopt : std::optional(primary);
   }
 
   PromotionCandidates FindReplicas(const DatabaseName& aGroup,
                                    std::optional<PromotionReason> aReason) const
   {
     const std::optional<ServerId> primary = this->ReplacedPrimary(aGroup);
-    const std::vector<ServerId> servers = this->cluster.ServersOf(aGroup);
     const std::vector<ServerId> readyServers = this->cluster.ReadyServers(aGroup);
-    const auto& syncReplicas = this->cluster.Configuration().syncReplicas;
-    const auto syncReplicasOfGroup = syncReplicas.find(aGroup);
     PromotionCandidates candidates;
     candidates.readyReplicas.insert(readyServers.begin(), readyServers.end());
-    candidates.replicaCount = servers.size();
     if (primary) {
       candidates.readyReplicas.erase(*primary);
-      candidates.replicaCount -=
-        static_cast<std::size_t>(std::count(servers.begin(), servers.end(), *primary));
-    }
-    candidates.syncReplicas =
-      syncReplicasOfGroup == syncReplicas.end() ? 0 : syncReplicasOfGroup->second;
-    if (this->IsOrderOpen(aGroup)) {
-      candidates.syncReplicas = std::max<std::size_t>(1, candidates.syncReplicas);
     }
+    candidates.replicaCount = this->CurrentReplicas(aGroup).size();
+    candidates.syncReplicas = this->SyncReplicasOf(aGroup);
     candidates.isPrimaryServing = aReason == PromotionReason::Leaving && !this->IsOrderOpen(aGroup);
     return candidates;
   }
@@ -428,7 +618,7 @@
     }
     if (this->IsOrderOpen(aGroup) && ledTerm > this->records.Of(aGroup).term) {
       // Another server has led the group since, even if it is gone by now.
-      this->CloseRecord(aNow, aGroup);
+      this->CloseRecord(aNow, aGroup, this->CurrentReplicas(aGroup));
       return;
     }
     const std::optional<ServerId> candidate = this->Decide(aNow, aGroup);
@@ -454,6 +644,7 @@
     }
     PromotionRecord record;
     record.primary = this->groupStates[aGroup].latestPrimary;
+    record.replicas = this->CurrentReplicas(aGroup);
     record.term = this->groupStates[aGroup].ledTerm;
     record.isOrderOpen = true;
     this->records.Write(aGroup, record, [this, aGroup](Instant aThen, bool aIsStored) {
@@ -465,8 +656,9 @@
     });
   }
 
-  /** Stores that no order is open any more, because another server leads the group. */
-  void CloseRecord(Instant aNow, const DatabaseName& aGroup)
+  /** Stores that no order is open any more, because another server leads the group.
+      @param aReplicas  the replicas that count from now on. */
+  void CloseRecord(Instant aNow, const DatabaseName& aGroup, RecordedReplicas aReplicas)
   {
     GroupState& state = this->groupStates[aGroup];
     state.isRunning = true;
@@ -475,6 +667,7 @@
     state.nextResumeAt = aNow;
     PromotionRecord record;
     record.primary = this->cluster.PrimaryOf(aGroup).value_or(ServerId());
+    record.replicas = std::move(aReplicas);
     this->records.Write(aGroup, record, [this, aGroup](Instant aThen, bool) {
       this->EndAttempt(aThen, aGroup, Duration(0));
     });
@@ -728,8 +921,9 @@
   {
     const PromotionCandidates& candidates = this->groupStates[aGroup].candidates;
     const auto candidate = ChooseCandidate(candidates);
-    const bool isDue = this->IsOrderOpen(aGroup) ||
-                       FindPromotionReason(aNow, aGroup, this->cluster, this->fleet).has_value();
+    GroupState& state = this->groupStates[aGroup];
+    const bool isDue = this->IsOrderOpen(aGroup) || this->FindReason(aNow, aGroup).has_value();
+    state.isWaitingForReplicas = !candidate;
     if (candidate && isDue && this->IsHolder(aNow)) {
       return *candidate;
     }
--- a/packages/proxy/promotion/PromotionRecord.h
+++ b/packages/proxy/promotion/PromotionRecord.h
@@ -1,16 +1,51 @@
 #pragma once
 
+#include "core/base/NameTable.h"
 #include "proxy/cluster/ServerRecord.h"
 
+#include <array>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 namespace mustardshift::proxy {
 
-/** What is stored of the promotions of one group whose commits are acknowledged by replicas, so
-   that the next holder of the promotion lease continues where the previous one stopped. */
+/** Whether a replica that may hold acknowledged commits is listed. */
+enum class ReplicaPresence
+{
+  Listed,
+  /** Listed, and it has announced that it is about to leave. */
+  Leaving,
+  /** Its entry is gone without such an announcement: it is silent, and may come back with all that
+      it has received. */
+  Absent,
+};
+
+inline constexpr std::array<std::pair<ReplicaPresence, std::string_view>, 3> kReplicaPresenceNames{
+  {
+    { ReplicaPresence::Listed, "listed" },
+    { ReplicaPresence::Leaving, "leaving" },
+    { ReplicaPresence::Absent, "absent" },
+  }
+};
+
+struct RecordedReplica
+{
+  /** See ServerRecord. */
+  std::int64_t startedAtMs = 0;
+  ReplicaPresence presence = ReplicaPresence::Listed;
+
+  friend bool operator==(const RecordedReplica&, const RecordedReplica&) = default;
+};
+
+using RecordedReplicas = std::map<ServerId, RecordedReplica>;
+
+/** What is stored of one group whose commits are acknowledged by replicas, so that the next holder
+    of the promotion lease continues where the previous one stopped. */
 struct PromotionRecord
 {
   /** The primary that is being replaced, or else the present one; empty if none was listed. */
@@ -21,10 +56,23 @@
       sent, and reset once another server than `primary` leads the group. Until then no replica may
       receive commits, since the promoted one would lack them. */
   bool isOrderOpen = false;
+  /** Replicas that count for a promotion. */
+  RecordedReplicas replicas;
 
   friend bool operator==(const PromotionRecord&, const PromotionRecord&) = default;
 };
 
+/** Returns the replicas that count, given those that counted before and the servers that are listed
+    now. A replica stops counting when it has left, or when a new process has taken its id, which
+    knows nothing of before. One that is silent goes on counting.
+    @param aListed  the listed servers of the group.
+    @param aPrimary  server that is no replica; nothing if there is none.
+
+    Thread safety: pure. */
+RecordedReplicas UpdateReplicas(const RecordedReplicas& aRecorded,
+                                const std::vector<ServerRecord>& aListed,
+                                const std::optional<ServerId>& aPrimary);
+
 /** Encodes a record as CBOR. Thread safety: pure. */
 std::string EncodePromotionRecord(const PromotionRecord& aRecord);
 
--- a/packages/proxy/tests/FleetSimulation.cpp
+++ b/packages/proxy/tests/FleetSimulation.cpp
@@ -309,6 +309,13 @@
   this->network.Server(aId).isUnresponsive = true;
 }
 
+void FleetSimulation::DrainServer(const std::string& aId)
+{
+  const FakeServer& server = this->network.Server(aId);
+  const std::string role = server.isPrimary ? "primary" : "replica";
+  this->store.Put("servers", aId, role + " draining " + server.group);
+}
+
 void FleetSimulation::RestoreServer(const std::string& aId)
 {
   this->crashedServers.erase(aId);
--- a/packages/proxy/tests/FleetSimulation.h
+++ b/packages/proxy/tests/FleetSimulation.h
@@ -154,6 +154,8 @@
   /** Writes the current role of each server that has not crashed to the table of servers. */
   void WriteServers();
   void CrashServer(const std::string& aId);
+  /** Writes the entry of a server that is about to leave. */
+  void DrainServer(const std::string& aId);
   /** Lets a crashed server answer and write its entry again, with the log that it had. */
   void RestoreServer(const std::string& aId);
   /** Opens a session and executes one statement in it; aDone receives the reply. */
