Count the request id of a running statement as memory

Cause: a session counted the text of its running statement, but not its request id, which is kept until the answer and copied into the command. Before a statement runs, its whole message is compared with what is left, but while it waited the account held almost nothing of it, so the next one was let in too.

Change: the id counts as the text does. Where else a client chooses the length of what is kept, it was counted already (values, prepared names, unsent output); log lines cut values at 256 bytes.

LimitsTest::ARunningStatementIsMeasured compares what is counted while a statement runs with what was asked for it before.

--- a/packages/proxy/session/ClientSession.h
+++ b/packages/proxy/session/ClientSession.h
@@ -150,7 +150,8 @@
   {
     std::size_t bytes = this->state.Size();
     if (this->activeStatement) {
-      bytes += BytesOfStatement(this->activeStatement->statement.text.size());
+      bytes += BytesOfStatement(this->activeStatement->statement.text.size() +
+                                this->activeStatement->requestId.size());
     }
     if (this->connection != nullptr) {
       bytes +=
@@ -197,7 +198,9 @@
   /** A name of 67 bytes in a node of a set. */
   static constexpr std::size_t kBytesPerPreparedName = 160;
 
-  /** A statement is kept whole, by its parts, and as the command that is sent. */
+  /** A statement is kept whole, by its parts, and as the command that is sent. Its request id is
+      kept as often, or once less.
+      @param aSize  size of its text and its request id, in bytes. */
   static std::size_t BytesOfStatement(std::size_t aSize) { return 3 * aSize; }
 
   /** The session variables as commands, and as the connection's copy. */
--- a/packages/proxy/tests/LimitsTest.cpp
+++ b/packages/proxy/tests/LimitsTest.cpp
@@ -7,6 +7,7 @@
 #include "proxy/session/SessionState.h"
 #include "proxy/session/SetupCommands.h"
 #include "proxy/tests/FakeNetwork.h"
+#include "proxy/tests/SessionFixture.h"
 #include "support/Section.h"
 
 #include <algorithm>
@@ -101,6 +102,7 @@
   CPPUNIT_TEST(ProgressIsRequiredAfterTheGrace);
   CPPUNIT_TEST(DescriptorsAreDivided);
   CPPUNIT_TEST(ReportsAreRateLimited);
+  CPPUNIT_TEST(ARunningStatementIsMeasured);
   CPPUNIT_TEST(SessionStateIsMeasured);
   CPPUNIT_TEST(ConnectionsForgetLargeState);
   CPPUNIT_TEST_SUITE_END();
@@ -388,6 +390,28 @@
     });
   }
 
+  /** Guards against an account that lets a statement run for the size of its whole message, and
+     then counts less than that while the statement waits. */
+  void ARunningStatementIsMeasured()
+  {
+    constexpr std::size_t kSize = 100'000;
+    for (const auto& [idSize, textSize] :
+         { std::pair(kSize, std::size_t(1)), std::pair(std::size_t(1), kSize) }) {
+      test::SessionFixture fixture;
+      fixture.network.Server("s1").isUnresponsive = true;
+      fixture.network.Server("s2").isUnresponsive = true;
+      fixture.network.Server("s3").isUnresponsive = true;
+      const auto session = fixture.Open("board");
+      const std::size_t idle = session->HeldBytes();
+      Statement read = test::SessionFixture::Parse("READ " + std::string(textSize, 'x'));
+      const std::size_t messageSize = idSize + read.text.size();
+      const std::size_t expected = session->BytesToRun(messageSize);
+      session->Execute(
+        fixture.now, std::string(idSize, 'i'), std::move(read), [](Instant, const ClientReply&) {});
+      CPPUNIT_ASSERT_EQUAL(idle + expected, session->HeldBytes());
+    }
+  }
+
   void SessionStateIsMeasured()
   {
     SessionState state;
