Pause no replica while the old primary is being demoted

Cause: while an order is open, each step of the driver pauses the replicas that it has not paused yet. The step runs every 200 ms, so with a primary that takes longer to be demoted all replicas were paused before it, and commits that wait for them hold the connections that the command needs.

Change: nothing is paused until the demotion has ended.

Measured: SyncReplicaPromotionTest::AReplicaThatStartsDuringAPromotion- ConfirmsNothing, now with a primary that is busy for 220 ms, fails on the driver before this commit ("!isPausedAtDemotion") and passes with it.

--- a/packages/proxy/promotion/PromotionDriver.h
+++ b/packages/proxy/promotion/PromotionDriver.h
@@ -174,6 +174,9 @@
   struct GroupState
   {
     bool isRunning = false;
+    /** The primary is being demoted. A pause before that would take the connections that the
+       command needs. */
+    bool isDemoting = false;
     /** A command to resume is on its way to a replica; a pause could overtake it. */
     bool isResuming = false;
     Instant nextAttemptAt{};
@@ -681,6 +684,7 @@
       this->CollectFinalPositions(aNow, aGroup, false);
       return;
     }
+    this->groupStates[aGroup].isDemoting = true;
     this->demoter.Demote(aNow,
                          aGroup,
                          *primary,
@@ -702,6 +706,7 @@
   void CollectFinalPositions(Instant aNow, const DatabaseName& aGroup, bool aIsDemoted)
   {
     GroupState& state = this->groupStates[aGroup];
+    state.isDemoting = false;
     state.candidates = this->FindReplicas(aGroup, std::nullopt);
     const std::set<ServerId> replicas = this->ReplicasOf(aGroup);
     if (replicas.empty()) {
@@ -829,7 +834,7 @@
     for (const ServerId& paused : state.pausedReplicas) {
       replicas.erase(paused);
     }
-    if (replicas.empty() || state.nextTerm == 0) {
+    if (replicas.empty() || state.nextTerm == 0 || state.isDemoting) {
       return;
     }
     this->SendPause(aNow, aGroup, replicas, [this, aGroup, replicas](Instant, bool areAllPaused) {
--- a/packages/proxy/tests/SyncReplicaPromotionTest.cpp
+++ b/packages/proxy/tests/SyncReplicaPromotionTest.cpp
@@ -359,12 +359,18 @@
       SyncFleet fleet(30);
       bool isPrimaryDemoted = false;
       bool isPausedAtDemotion = false;
-      fleet.network.Server("s1").behaviour = [&](const ServerCommand& aCommand) {
-        if (aCommand.kind == ServerCommandKind::Demote) {
-          isPausedAtDemotion = fleet.network.Server("s2").pausedTerm != 0 ||
-                               fleet.network.Server("s3").pausedTerm != 0;
+      std::optional<Instant> askedAt;
+      fleet.network.Server("s1").refusal =
+        [&](const ServerCommand& aCommand) -> std::optional<ErrorCode> {
+        if (aCommand.kind != ServerCommandKind::Demote) {
+          return std::nullopt;
         }
-        return test::CommandBehaviour::Answer;
+        askedAt = askedAt.value_or(fleet.now);
+        isPausedAtDemotion =
+          fleet.network.Server("s2").pausedTerm != 0 || fleet.network.Server("s3").pausedTerm != 0;
+        // Several steps of the driver pass until then.
+        return fleet.now - *askedAt < milliseconds(220) ? std::optional(ErrorCode::Busy)
+                                                        : std::nullopt;
       };
       const auto promote = fleet.orders.onAccepted;
       fleet.orders.onAccepted = [&](const PromotionOrder& aOrder) {
