Remove the promotion records of former groups

Cause: nothing in the store expires on its own, so the record of each group that was ever configured with sync_replicas stayed, and the holder of the promotion lease reads them all when it takes over.

Change: the holder removes the records of groups that the configuration does not have, one at a time.

--- a/packages/proxy/promotion/PromotionDriver.h
+++ b/packages/proxy/promotion/PromotionDriver.h
@@ -134,6 +134,7 @@
       this->nextLoadAt = aNow + kFailedPause;
       this->records.Load([this](Instant aThen) { this->Step(aThen, this->leaseUntil); });
     }
+    this->RemoveUnusedRecord();
     for (const auto& [group, limit] : this->cluster.Configuration().connectionLimits) {
       this->StepGroup(aNow, group);
     }
@@ -252,6 +253,16 @@
     return reason;
   }
 
+  /** Removes the record of a group that the configuration does not have, at most one at a time. */
+  void RemoveUnusedRecord()
+  {
+    if (!this->records.IsLoaded() || !this->cluster.HasConfiguration()) {
+      return;
+    }
+    const auto& groups = this->cluster.Configuration().connectionLimits;
+    this->records.RemoveOne([&](const DatabaseName& aGroup) { return !groups.contains(aGroup); });
+  }
+
   std::vector<ServerRecord> ListedServers(const DatabaseName& aGroup) const
   {
     std::vector<ServerRecord> servers;
--- a/packages/proxy/promotion/PromotionRecords.h
+++ b/packages/proxy/promotion/PromotionRecords.h
@@ -7,9 +7,11 @@
 #include "proxy/log/EventLog.h"
 #include "proxy/promotion/PromotionRecord.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -109,6 +111,29 @@
       });
   }
 
+  /** Removes one record for which the predicate holds, unless a removal is in progress.
+      Precondition: IsLoaded(). Thread safety: as for the object. */
+  void RemoveOne(const std::function<bool(const DatabaseName&)>& aIsUnused)
+  {
+    const auto unused =
+      std::find_if(this->entries.begin(), this->entries.end(), [&](const auto& aEntry) {
+        return aEntry.second.version != 0 && aIsUnused(aEntry.first);
+      });
+    if (unused == this->entries.end() || std::exchange(this->isRemoving, true)) {
+      return;
+    }
+    this->store.Write(
+      RowChange{ std::string(kTable), unused->first.Text(), std::nullopt, unused->second.version },
+      [this, group = unused->first, generation = this->generation](Instant, const auto& aVersion) {
+        this->isRemoving = false;
+        if (generation == this->generation && aVersion) {
+          this->entries.erase(group);
+        } else if (generation == this->generation) {
+          this->Unload();
+        }
+      });
+  }
+
 private:
   struct Entry
   {
@@ -136,6 +161,7 @@
   std::map<DatabaseName, Entry> entries;
   bool isLoaded = false;
   bool isLoading = false;
+  bool isRemoving = false;
   /** Increased when the records are dropped; answers to earlier calls are then ignored. */
   std::uint64_t generation = 0;
 };
--- a/packages/proxy/tests/SyncReplicaPromotionTest.cpp
+++ b/packages/proxy/tests/SyncReplicaPromotionTest.cpp
@@ -494,6 +494,14 @@
       fleet.Advance(seconds(60));
       CPPUNIT_ASSERT_EQUAL(version, recordVersion());
     });
+    Section("the record of a group that is gone is removed", [&] {
+      SyncFleet fleet(44);
+      fleet.store.Put("promotions", "former", EncodePromotionRecord({}));
+      fleet.Kill(0);
+      fleet.Advance(seconds(6));
+      CPPUNIT_ASSERT(fleet.store.TakeSnapshot().first["promotions"]["former"].isRemoved);
+      CPPUNIT_ASSERT(!fleet.store.TakeSnapshot().first["promotions"]["fittings"].isRemoved);
+    });
   }
 
   /** Guards against waiting for replicas that can't come back with what they had received. */
