--- a/packages/proxy/cluster/ClusterState.cpp
+++ b/packages/proxy/cluster/ClusterState.cpp
@@ -46,6 +46,9 @@
   if (isNewProcess || oldRecord->role != aServer.role) {
     this->markedNotPrimaryAt.erase(aServer.id);
   }
+  if (oldRecord != nullptr && oldRecord->role != aServer.role) {
+    this->replacedUntil.erase(aServer.id);
+  }
 }
 
 void ClusterState::UpdatePrimaries(Instant aNow)
@@ -140,7 +143,7 @@
   std::uint64_t latestPrimaryOrder = 0;
   for (const auto& [id, server] : this->servers) {
     if (server.group != aGroup || server.role != ServerRole::Primary ||
-        this->markedNotPrimaryAt.contains(id)) {
+        this->markedNotPrimaryAt.contains(id) || this->replacedUntil.contains(id)) {
       continue;
     }
     const auto order = this->primaryOrder.find(id);
@@ -158,6 +161,7 @@
   std::erase_if(this->markedNotPrimaryAt, [&](const auto& aEntry) {
     return aNow - aEntry.second >= kNotPrimaryMarkLifetime;
   });
+  std::erase_if(this->replacedUntil, [&](const auto& aEntry) { return aNow >= aEntry.second; });
 }
 
 std::optional<Instant> ClusterState::WithoutPrimarySince(const DatabaseName& aGroup) const
--- a/packages/proxy/cluster/ClusterState.h
+++ b/packages/proxy/cluster/ClusterState.h
@@ -75,7 +75,11 @@
       because the server may have been demoted and promoted again without a visible change of its
       record; sending it another statement is safe. */
   void MarkNotPrimary(const ServerId& aId, Instant aNow) { this->markedNotPrimaryAt[aId] = aNow; }
-  /** Removes the marks of MarkNotPrimary() that are older than kNotPrimaryMarkLifetime. */
+  /** Records that a primary is being replaced, whether or not it is listed. PrimaryOf() skips it
+     until then, or until its role changes. Precondition: none. Thread safety: as for the object. */
+  void MarkReplaced(const ServerId& aId, Instant aUntil) { this->replacedUntil[aId] = aUntil; }
+  /** Removes the marks of MarkNotPrimary() that are older than kNotPrimaryMarkLifetime, and those
+     of MarkReplaced() that have ended. */
   void ExpireNotPrimaryMarks(Instant aNow);
 
   /** Instant since when no server of the group is listed as primary; nothing while one is. */
@@ -95,6 +99,7 @@
   std::map<ServerId, Instant> drainingStateSince;
   std::map<FailureDomainName, Instant> evacuatedDomains;
   std::map<ServerId, Instant> markedNotPrimaryAt;
+  std::map<ServerId, Instant> replacedUntil;
   /** Order in which servers were seen to become primary; PrimaryOf() returns the latest one. */
   std::map<ServerId, std::uint64_t> primaryOrder;
   std::uint64_t lastPrimaryOrder = 0;
--- a/packages/proxy/promotion/ChooseCandidate.cpp
+++ b/packages/proxy/promotion/ChooseCandidate.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <tuple>
 
 namespace mustardshift::proxy {
 
@@ -11,10 +12,11 @@
 std::optional<ServerId> MostAdvanced(const PromotionCandidates& aCandidates, bool aOnlyReady)
 {
   std::optional<ServerId> best;
-  std::pair<LogPosition, bool> bestRank;
+  std::tuple<LogPosition, bool, bool> bestRank;
   for (const auto& [id, position] : aCandidates.receivedPositions) {
     const bool isReady = aCandidates.readyReplicas.contains(id);
-    const std::pair<LogPosition, bool> rank(position, isReady);
+    const std::tuple<LogPosition, bool, bool> rank(
+      position, id == aCandidates.orderedReplica, isReady);
     if ((isReady || !aOnlyReady) && (!best || rank > bestRank)) {
       best = id;
       bestRank = rank;
@@ -38,6 +40,9 @@
   if (aCandidates.receivedPositions.size() + aCandidates.syncReplicas <= aCandidates.replicaCount) {
     return tl::unexpected(NoCandidateReason::TooFewAnswers);
   }
+  if (aCandidates.receivedPositions.at(*best).offset < aCandidates.requiredOffset) {
+    return tl::unexpected(NoCandidateReason::RequiredPositionMissing);
+  }
   if (aCandidates.isPrimaryServing && !aCandidates.readyReplicas.contains(*best)) {
     return tl::unexpected(NoCandidateReason::ReadyReplicasBehind);
   }
--- a/packages/proxy/promotion/ChooseCandidate.h
+++ b/packages/proxy/promotion/ChooseCandidate.h
@@ -6,6 +6,7 @@
 
 #include <array>
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <set>
 #include <string_view>
@@ -25,6 +26,10 @@
   std::size_t replicaCount = 0;
   /** Number of replicas that have received a commit before it is acknowledged. */
   std::size_t syncReplicas = 0;
+  /** Replica that an order names which may still be carried out; empty if there is none. */
+  ServerId orderedReplica;
+  /** Offset that the promoted replica has to have received. */
+  std::uint64_t requiredOffset = 0;
   /** The old primary still sends its log to the replicas, so that a replica that is behind catches
       up. */
   bool isPrimaryServing = false;
@@ -38,24 +43,31 @@
   TooFewAnswers,
   /** The replicas that may be given new work lack commits that another one has. */
   ReadyReplicasBehind,
+  /** The replicas lack commits that were acknowledged before the old primary took the lead. */
+  RequiredPositionMissing,
 };
 
-inline constexpr std::array<std::pair<NoCandidateReason, std::string_view>, 3>
+inline constexpr std::array<std::pair<NoCandidateReason, std::string_view>, 4>
   kNoCandidateReasonNames{ {
     { NoCandidateReason::NoAnswer, "no replica answered" },
     { NoCandidateReason::TooFewAnswers,
       "a replica without an answer may hold acknowledged commits" },
     { NoCandidateReason::ReadyReplicasBehind, "the ready replicas are behind a leaving one" },
+    { NoCandidateReason::RequiredPositionMissing,
+      "the replicas lack commits that the old primary took over" },
   } };
 
 /** Returns the replica to promote: the one that has received most, since a promoted server keeps
-   all that it has received and nothing more. Of equal ones, a ready one, then the one with the
-   smallest id.
+   all that it has received and nothing more. Of equal ones, the one that was ordered before,
+   since two servers would lead in turn if both orders are carried out; then a ready one, then the
+   one with the smallest id.
 
     Without syncReplicas, only ready replicas are promoted, and those that have answered decide.
    With syncReplicas, the promoted replica has received each acknowledged commit: such a commit is
    on at least syncReplicas replicas, so all but syncReplicas - 1 of them have to answer, and a
-   replica that is leaving is promoted if it alone has everything and the old primary is gone.
+   replica that is leaving is promoted if it alone has everything and the old primary is gone. What
+   was acknowledged before the old primary took the lead may be on that server alone; the promoted
+   replica has to have received it too.
 
     Thread safety: pure. */
 tl::expected<ServerId, NoCandidateReason> ChooseCandidate(const PromotionCandidates& aCandidates);
--- a/packages/proxy/promotion/PrimaryDemoter.h
+++ b/packages/proxy/promotion/PrimaryDemoter.h
@@ -27,7 +27,8 @@
 
 /** Demotes primaries that are being replaced, through whichever VMs reach them. A primary that most
     VMs can't reach may still serve the others: until it is demoted, it acknowledges commits through
-    any replica that receives from it.
+    any replica that receives from it. All VMs that are asked send it no statements for
+    kReplacementTime, since it can come back in the middle of the promotion.
 
     Thread safety: none; one thread owns the object. */
 template<DatabaseNetwork Network, PeerMessenger Messenger>
@@ -37,6 +38,10 @@
   /** Time that other VMs have to demote a primary; a primary that answers does so much sooner. */
   static constexpr Duration kAnswerTimeout = std::chrono::milliseconds(250);
 
+  /** Time for which a VM that was asked sends nothing to the primary. Longer than the time between
+      two attempts of a promotion, each of which asks again. */
+  static constexpr Duration kReplacementTime = std::chrono::seconds(5);
+
   /** Receives whether the server has answered that it is no primary. */
   using Handler = std::function<void(Instant, bool)>;
 
@@ -83,7 +88,7 @@
               Handler aHandler)
   {
     const std::uint64_t number = ++this->lastNumber;
-    const std::set<VmId> vms = this->VmsToAsk(aPrimary);
+    const std::set<VmId> vms = this->OtherMembers();
     Pending& pending = this->pending[number];
     pending.handler = std::move(aHandler);
     pending.group = aGroup;
@@ -92,6 +97,12 @@
     pending.waitsForTimeout = this->fleet.IsLarge() && !vms.empty();
     pending.vms = vms;
     pending.vms.insert(this->self);
+    if (!this->fleet.IsLarge()) {
+      std::erase_if(pending.vms, [&](const VmId& aVm) {
+        return aVm != this->self &&
+               this->fleet.Members().at(aVm).row.unreachablePrimaries.contains(aPrimary);
+      });
+    }
     pending.timer = this->scheduler.Schedule(aNow + kAnswerTimeout, [this, number](Instant aThen) {
       this->Finish(aThen, number, nullptr);
     });
@@ -133,21 +144,18 @@
     Handler handler;
     DatabaseName group;
     ServerId primary;
-    /** VMs whose answer is missing. */
+    /** VMs whose answer is missing: those that may reach the primary. In a large fleet all members
+        are asked, because the VMs attached to them may. */
     std::set<VmId> vms;
     bool waitsForTimeout = false;
     Scheduler::TaskId timer{};
   };
 
-  /** Other members that may reach the primary. In a large fleet also those that don't, because the
-      VMs attached to them may. */
-  std::set<VmId> VmsToAsk(const ServerId& aPrimary) const
+  std::set<VmId> OtherMembers() const
   {
     std::set<VmId> vms;
     for (const VmId& vm : this->fleet.LiveVms()) {
-      const MemberRow& row = this->fleet.Members().at(vm).row;
-      if (vm != this->self && !row.peerAddress.empty() &&
-          (this->fleet.IsLarge() || !row.unreachablePrimaries.contains(aPrimary))) {
+      if (vm != this->self && !this->fleet.PeerAddressOf(vm).empty()) {
         vms.insert(vm);
       }
     }
@@ -174,9 +182,11 @@
     });
   }
 
-  /** Sends the command from this VM, unless it can't reach the server. */
+  /** Stops sending statements to the server, and sends the command unless this VM can't reach it.
+   */
   void DemoteHere(Instant aNow, const DemotionRequest& aRequest, Handler aHandler)
   {
+    this->cluster.MarkReplaced(aRequest.primary, aNow + kReplacementTime);
     const ServerRecord* server = this->cluster.Find(aRequest.primary);
     if (server == nullptr || server->group != aRequest.group ||
         this->health.IsUnreachable(aRequest.primary, aNow)) {
@@ -190,15 +200,12 @@
                      { aRequest.primary },
                      demote,
                      true,
-                     [this, primary = aRequest.primary, handler = std::move(aHandler)](
-                       Instant aThen, const auto& aReplies) {
+                     [primary = aRequest.primary,
+                      handler = std::move(aHandler)](Instant aThen, const auto& aReplies) {
                        const auto reply = aReplies.find(primary);
                        const bool isDemoted = reply != aReplies.end() &&
                                               reply->second.serverStatus &&
                                               !reply->second.serverStatus->isPrimary;
-                       if (isDemoted) {
-                         this->cluster.MarkNotPrimary(primary, aThen);
-                       }
                        handler(aThen, isDemoted);
                      });
   }
--- a/packages/proxy/promotion/PromotionDriver.h
+++ b/packages/proxy/promotion/PromotionDriver.h
@@ -54,7 +54,8 @@
 
     A replica that is silent may hold commits that were acknowledged through it alone. It therefore
     goes on counting when its entry has lapsed (UpdateReplicas()), until enough of the others were
-    seen to have received what the primary had after that.
+    seen to have received what the primary had after that. A primary that has just taken the lead
+   may hold acknowledged commits alone in the same way (PromotionRecord::requiredOffset).
 
     Thread safety: none; one thread owns the object. */
 template<DatabaseNetwork Network,
@@ -198,6 +199,9 @@
     /** Instant from which the replicas that count are stored again after a failed write. */
     Instant nextStoreAt{};
     Instant nextAbsenceCheckAt{};
+    /** Server that the latest accepted order names, and when it was accepted. */
+    ServerId confirmedPrimary;
+    Instant confirmedAt{};
     /** Replicas that were told to pause, and that no promotion or command has resumed since. */
     std::set<ServerId> pausedReplicas;
     /** Instant from which the replicas are told to receive again, unless a primary is needed. */
@@ -217,11 +221,7 @@
       return;
     }
     if (this->IsOrderOpen(aGroup) && this->HasNewPrimary(aGroup)) {
-      // The promoted server has what was acknowledged before, so silent replicas no longer count.
-      this->CloseRecord(
-        aNow,
-        aGroup,
-        UpdateReplicas({}, this->ListedServers(aGroup), this->cluster.PrimaryOf(aGroup)));
+      this->OnNewPrimary(aNow, aGroup, *this->cluster.PrimaryOf(aGroup));
       return;
     }
     if (this->IsSynchronous(aGroup) && this->StoreReplicas(aNow, aGroup)) {
@@ -230,14 +230,51 @@
     if (aNow < state.nextAttemptAt) {
       return;
     }
+    if (this->IsOrderOpen(aGroup)) {
+      this->RepeatPromotion(aNow, aGroup);
+      return;
+    }
     const auto reason = this->FindReason(aNow, aGroup);
-    if (!reason && !this->IsOrderOpen(aGroup)) {
+    if (!reason) {
       state.rejectedCandidates.clear();
       this->ResumeReplicas(aNow, aGroup);
       this->CheckAbsentReplicas(aNow, aGroup);
       return;
     }
-    this->CollectPositions(aNow, aGroup, reason);
+    this->CollectPositions(aNow, aGroup, *reason);
+  }
+
+  /** Ends an open promotion once the server that the latest order names leads. If another one does,
+      the latest order may still be carried out: an order for the present primary supersedes it, and
+      takes effect at once. */
+  void OnNewPrimary(Instant aNow, const DatabaseName& aGroup, const ServerId& aPrimary)
+  {
+    GroupState& state = this->groupStates[aGroup];
+    const bool isConfirmed =
+      aPrimary == state.confirmedPrimary && aNow >= state.confirmedAt + kAcceptedPause;
+    if (aPrimary == this->records.Of(aGroup).candidate || isConfirmed) {
+      this->CloseRecord(aNow, aGroup);
+    } else if (aNow >= state.nextAttemptAt) {
+      state.isRunning = true;
+      this->Order(aGroup, aPrimary);
+    }
+  }
+
+  /** Sends another order for an open promotion. The primary is demoted and the replicas are paused
+      before anything is decided, since the old primary may be back. */
+  void RepeatPromotion(Instant aNow, const DatabaseName& aGroup)
+  {
+    GroupState& state = this->groupStates[aGroup];
+    const PromotionRecord& record = this->records.Of(aGroup);
+    this->log.WriteAlways(aNow,
+                          "promotion",
+                          "needed",
+                          { { "group", aGroup.Text() },
+                            { "why", "order open" },
+                            { "primary", record.primary.Text() } });
+    state.isRunning = true;
+    state.ledTerm = record.term;
+    this->DemotePrimary(aNow, aGroup);
   }
 
   /** Why the group needs a new primary. If the entry of a primary lapses that had to be replaced,
@@ -323,14 +360,15 @@
     }
   }
 
-  /** Finds out whether replicas that are silent still count: asks the primary for its position and,
-      after kCatchUpDelay, the listed replicas for theirs. */
+  /** Finds out whether the listed replicas have all that only a silent one or the primary may hold:
+      asks the primary for its position and, after kCatchUpDelay, the replicas for theirs. */
   void CheckAbsentReplicas(Instant aNow, const DatabaseName& aGroup)
   {
     GroupState& state = this->groupStates[aGroup];
     const auto primary = this->cluster.PrimaryOf(aGroup);
     const std::set<ServerId> absent = this->AbsentReplicas(aGroup);
-    if (absent.empty() || !primary || aNow < state.nextAbsenceCheckAt) {
+    const bool isCovered = absent.empty() && this->records.Of(aGroup).requiredOffset == 0;
+    if (isCovered || !primary || aNow < state.nextAbsenceCheckAt) {
       return;
     }
     state.nextAbsenceCheckAt = aNow + kAbsenceCheckInterval;
@@ -378,9 +416,9 @@
     return absent;
   }
 
-  /** Lets silent replicas no longer count if so many others have all that the primary had after
-      they fell silent that one of these answers before each promotion.
-      @param aPosition  end of the primary's log then. */
+  /** Lets silent replicas no longer count, and drops the required offset, if so many of the others
+      have all that the primary had that one of these answers before each promotion.
+      @param aPosition  end of the primary's log after the replicas fell silent. */
   void ForgetIfReplaceable(Instant aNow,
                            const DatabaseName& aGroup,
                            const std::set<ServerId>& aAbsent,
@@ -401,11 +439,12 @@
     std::erase_if(record.replicas, [&](const auto& aEntry) {
       return aEntry.second.presence == ReplicaPresence::Absent && aAbsent.contains(aEntry.first);
     });
+    record.requiredOffset = 0;
     this->log.WriteAlways(
       aNow,
       "promotion",
-      "silent-replicas-replaced",
-      { { "group", aGroup.Text() }, { "count", std::to_string(aAbsent.size()) } });
+      "replicas-complete",
+      { { "group", aGroup.Text() }, { "silent", std::to_string(aAbsent.size()) } });
     this->WriteRecord(aNow, aGroup, record);
   }
 
@@ -525,11 +564,8 @@
     this->AdvanceFencingToken([this](Instant, auto) { this->isClaiming = false; });
   }
 
-  /** Starts an attempt.
-      @param aReason  nothing if the promotion only is needed because its order is open. */
-  void CollectPositions(Instant aNow,
-                        const DatabaseName& aGroup,
-                        std::optional<PromotionReason> aReason)
+  /** Starts a promotion. */
+  void CollectPositions(Instant aNow, const DatabaseName& aGroup, PromotionReason aReason)
   {
     GroupState& state = this->groupStates[aGroup];
     const std::optional<ServerId> primary = this->cluster.PrimaryOf(aGroup);
@@ -539,9 +575,7 @@
                           "promotion",
                           "needed",
                           { { "group", aGroup.Text() },
-                            { "why",
-                              aReason ? std::string(NameOf(kPromotionReasonNames, *aReason))
-                                      : std::string("order open") },
+                            { "why", std::string(NameOf(kPromotionReasonNames, aReason)) },
                             { "primary", primary ? primary->Text() : "none" },
                             { "replicas", std::to_string(replicas.size()) },
                             { "sync", std::to_string(state.candidates.syncReplicas) } });
@@ -574,6 +608,7 @@
     return primary.Text().empty() ? std::nullopt : std::optional(primary);
   }
 
+  /** @param aReason  nothing while an order is open. */
   PromotionCandidates FindReplicas(const DatabaseName& aGroup,
                                    std::optional<PromotionReason> aReason) const
   {
@@ -586,6 +621,10 @@
     }
     candidates.replicaCount = this->CurrentReplicas(aGroup).size();
     candidates.syncReplicas = this->SyncReplicasOf(aGroup);
+    candidates.requiredOffset = this->records.Of(aGroup).requiredOffset;
+    if (this->IsOrderOpen(aGroup)) {
+      candidates.orderedReplica = this->records.Of(aGroup).candidate;
+    }
     candidates.isPrimaryServing = aReason == PromotionReason::Leaving && !this->IsOrderOpen(aGroup);
     return candidates;
   }
@@ -630,11 +669,6 @@
         candidates.receivedPositions[replica] = *reply.position;
       }
     }
-    if (this->IsOrderOpen(aGroup) && ledTerm > this->records.Of(aGroup).term) {
-      // Another server has led the group since, even if it is gone by now.
-      this->CloseRecord(aNow, aGroup, this->CurrentReplicas(aGroup));
-      return;
-    }
     const std::optional<ServerId> candidate = this->Decide(aNow, aGroup);
     if (!candidate) {
       return;
@@ -645,20 +679,19 @@
     }
     state.ledTerm = ledTerm;
     state.nextTerm = newestTerm + 1;
-    this->OpenRecord(aNow, aGroup);
+    this->OpenRecord(aGroup, *candidate);
   }
 
   /** Stores that an order may be carried out from now on, then demotes the primary and sends the
       order. */
-  void OpenRecord(Instant aNow, const DatabaseName& aGroup)
+  void OpenRecord(const DatabaseName& aGroup, const ServerId& aCandidate)
   {
-    if (this->IsOrderOpen(aGroup)) {
-      this->DemotePrimary(aNow, aGroup);
-      return;
-    }
+    this->groupStates[aGroup].confirmedPrimary = ServerId();
     PromotionRecord record;
+    record.candidate = aCandidate;
     record.primary = this->groupStates[aGroup].latestPrimary;
     record.replicas = this->CurrentReplicas(aGroup);
+    record.requiredOffset = this->records.Of(aGroup).requiredOffset;
     record.term = this->groupStates[aGroup].ledTerm;
     record.isOrderOpen = true;
     this->records.Write(aGroup, record, [this, aGroup](Instant aThen, bool aIsStored) {
@@ -670,9 +703,8 @@
     });
   }
 
-  /** Stores that no order is open any more, because another server leads the group.
-      @param aReplicas  the replicas that count from now on. */
-  void CloseRecord(Instant aNow, const DatabaseName& aGroup, RecordedReplicas aReplicas)
+  /** Stores that no order is open any more, because another server leads the group. */
+  void CloseRecord(Instant aNow, const DatabaseName& aGroup)
   {
     GroupState& state = this->groupStates[aGroup];
     state.isRunning = true;
@@ -681,7 +713,12 @@
     state.nextResumeAt = aNow;
     PromotionRecord record;
     record.primary = this->cluster.PrimaryOf(aGroup).value_or(ServerId());
-    record.replicas = std::move(aReplicas);
+    // The promoted server has what was acknowledged before, so silent replicas no longer count.
+    record.replicas = UpdateReplicas({}, this->ListedServers(aGroup), record.primary);
+    record.requiredOffset = this->records.Of(aGroup).requiredOffset;
+    for (const auto& [replica, position] : state.candidates.receivedPositions) {
+      record.requiredOffset = std::max(record.requiredOffset, position.offset);
+    }
     this->records.Write(aGroup, record, [this, aGroup](Instant aThen, bool) {
       this->EndAttempt(aThen, aGroup, Duration(0));
     });
@@ -691,7 +728,7 @@
   void DemotePrimary(Instant aNow, const DatabaseName& aGroup)
   {
     const std::optional<ServerId> primary = this->ReplacedPrimary(aGroup);
-    if (!primary || this->cluster.Find(*primary) == nullptr) {
+    if (!primary) {
       this->CollectFinalPositions(aNow, aGroup, false);
       return;
     }
@@ -742,16 +779,29 @@
   {
     GroupState& state = this->groupStates[aGroup];
     std::set<ServerId> receiving;
+    std::uint64_t ledTerm = 0;
+    bool isLed = false;
     for (const auto& [replica, reply] : aReplies) {
       if (!reply.serverStatus) {
         continue;
       }
+      ledTerm = std::max(ledTerm, reply.serverStatus->term);
+      isLed = isLed || reply.serverStatus->isPrimary;
       state.candidates.receivedPositions[replica] = reply.serverStatus->receivedPosition;
       state.nextTerm = std::max(state.nextTerm, reply.serverStatus->newestTerm + 1);
       if (reply.serverStatus->pausedTerm == 0) {
         receiving.insert(replica);
       }
     }
+    if (isLed) {
+      // An earlier order has been carried out; the list of servers will show it.
+      this->EndAttempt(aNow, aGroup, kFailedPause);
+      return;
+    }
+    if (ledTerm > this->records.Of(aGroup).term) {
+      this->OnLaterTerm(aNow, aGroup, ledTerm);
+      return;
+    }
     if (receiving.empty()) {
       this->OrderIfDecided(aNow, aGroup);
       return;
@@ -774,11 +824,38 @@
                     });
   }
 
+  /** Handles that a server has led a later term and is gone again: all listed ones are replicas of
+     that term, the one that was to be replaced among them. */
+  void OnLaterTerm(Instant aNow, const DatabaseName& aGroup, std::uint64_t aTerm)
+  {
+    PromotionRecord record = this->records.Of(aGroup);
+    record.primary = ServerId();
+    record.candidate = ServerId();
+    record.term = aTerm;
+    this->WriteRecord(aNow, aGroup, record);
+  }
+
+  /** Sends the order, once the record names the candidate. */
   void OrderIfDecided(Instant aNow, const DatabaseName& aGroup)
   {
-    if (const std::optional<ServerId> candidate = this->Decide(aNow, aGroup)) {
+    const std::optional<ServerId> candidate = this->Decide(aNow, aGroup);
+    if (!candidate) {
+      return;
+    }
+    PromotionRecord record = this->records.Of(aGroup);
+    if (record.candidate == *candidate || !record.isOrderOpen) {
       this->Order(aGroup, *candidate);
+      return;
     }
+    record.candidate = *candidate;
+    this->records.Write(
+      aGroup, record, [this, aGroup, candidate = *candidate](Instant aThen, bool aIsStored) {
+        if (aIsStored) {
+          this->Order(aGroup, candidate);
+        } else {
+          this->EndAttempt(aThen, aGroup, kFailedPause);
+        }
+      });
   }
 
   /** Pauses replicas and updates their positions.
@@ -845,9 +922,10 @@
     for (const ServerId& paused : state.pausedReplicas) {
       replicas.erase(paused);
     }
-    if (replicas.empty() || state.nextTerm == 0 || state.isDemoting) {
+    if (replicas.empty() || state.isDemoting) {
       return;
     }
+    state.nextTerm = std::max(state.nextTerm, this->records.Of(aGroup).term + 1);
     this->SendPause(aNow, aGroup, replicas, [this, aGroup, replicas](Instant, bool areAllPaused) {
       // Those that did not answer are told again with the next step.
       if (!areAllPaused) {
@@ -873,8 +951,12 @@
                   [&](const ServerId& aReplica) { return !replicas.contains(aReplica); });
     if (!state.pausedReplicas.empty()) {
       this->SendResume(aNow, aGroup, state.pausedReplicas);
-    } else if (!replicas.empty()) {
-      this->ResumePausedReplicas(aNow, aGroup, replicas);
+      return;
+    }
+    // A pause that arrived late can have hit a server that leads by now.
+    const std::vector<ServerId> servers = this->cluster.ServersOf(aGroup);
+    if (!servers.empty()) {
+      this->ResumePausedReplicas(aNow, aGroup, { servers.begin(), servers.end() });
     }
   }
 
@@ -931,13 +1013,27 @@
       });
   }
 
+  /** Takes into account which replicas have been listed, or have left, since they were asked. */
+  void UpdateCandidates(const DatabaseName& aGroup)
+  {
+    PromotionCandidates& candidates = this->groupStates[aGroup].candidates;
+    if (candidates.syncReplicas == 0) {
+      return;
+    }
+    const RecordedReplicas replicas = this->CurrentReplicas(aGroup);
+    candidates.replicaCount = replicas.size();
+    std::erase_if(candidates.receivedPositions,
+                  [&](const auto& aEntry) { return !replicas.contains(aEntry.first); });
+  }
+
   /** Chooses the replica to promote. Ends the attempt, and returns nothing, if there is none, or if
       no order is open and no promotion is due any more. */
   std::optional<ServerId> Decide(Instant aNow, const DatabaseName& aGroup)
   {
-    const PromotionCandidates& candidates = this->groupStates[aGroup].candidates;
-    const auto candidate = ChooseCandidate(candidates);
     GroupState& state = this->groupStates[aGroup];
+    PromotionCandidates& candidates = state.candidates;
+    this->UpdateCandidates(aGroup);
+    const auto candidate = ChooseCandidate(candidates);
     const bool isDue = this->IsOrderOpen(aGroup) || this->FindReason(aNow, aGroup).has_value();
     state.isWaitingForReplicas = !candidate;
     if (candidate && isDue && this->IsHolder(aNow)) {
@@ -1000,6 +1096,10 @@
           { "candidate", order.candidate.Text() },
           { "fence", std::to_string(order.fencingToken) },
           { "result", std::string(NameOf(kPromotionOrderResultNames, aResult)) } });
+      if (aResult == PromotionOrderResult::Accepted) {
+        this->groupStates[order.group].confirmedPrimary = order.candidate;
+        this->groupStates[order.group].confirmedAt = aThen;
+      }
       if (aResult == PromotionOrderResult::Rejected) {
         this->groupStates[order.group].rejectedCandidates.insert(order.candidate);
       }
--- a/packages/proxy/promotion/PromotionRecord.cpp
+++ b/packages/proxy/promotion/PromotionRecord.cpp
@@ -37,7 +37,9 @@
   return ToCbor({ { "primary", aRecord.primary.Text() },
                   { "term", aRecord.term },
                   { "open", aRecord.isOrderOpen },
-                  { "replicas", std::move(replicas) } });
+                  { "candidate", aRecord.candidate.Text() },
+                  { "replicas", std::move(replicas) },
+                  { "required", aRecord.requiredOffset } });
 }
 
 std::optional<PromotionRecord> DecodePromotionRecord(std::string_view aBytes)
@@ -51,6 +53,8 @@
     record.primary = ServerId(value->at("primary").get<std::string>());
     record.term = IntegerOf<std::uint64_t>(value->at("term"));
     record.isOrderOpen = value->at("open").get<bool>();
+    record.candidate = ServerId(value->at("candidate").get<std::string>());
+    record.requiredOffset = IntegerOf<std::uint64_t>(value->at("required"));
     for (const auto& [id, replica] : value->at("replicas").items()) {
       const auto presence = ValueOf(kReplicaPresenceNames, replica.at(1).get<std::string>());
       if (!presence) {
--- a/packages/proxy/promotion/PromotionRecord.h
+++ b/packages/proxy/promotion/PromotionRecord.h
@@ -53,11 +53,18 @@
   /** Term of that primary, as far as the replicas know it. */
   std::uint64_t term = 0;
   /** Whether an order to promote a replica may still be carried out. Set before the first order is
-      sent, and reset once another server than `primary` leads the group. Until then no replica may
-      receive commits, since the promoted one would lack them. */
+      sent, and reset once the server that the latest order names leads the group: earlier orders
+      have lower fencing tokens. Until then no replica may receive commits, since the promoted one
+      would lack them. */
   bool isOrderOpen = false;
+  /** Server that the latest order names; empty before the first one. */
+  ServerId candidate;
   /** Replicas that count for a promotion. */
   RecordedReplicas replicas;
+  /** Offset at which the primary took the lead, until so many replicas were seen to have received
+     it as acknowledge a commit; 0 then. Before that, what was acknowledged up to it may be on the
+      primary alone. */
+  std::uint64_t requiredOffset = 0;
 
   friend bool operator==(const PromotionRecord&, const PromotionRecord&) = default;
 };
--- a/packages/proxy/tests/PeerMessageTest.cpp
+++ b/packages/proxy/tests/PeerMessageTest.cpp
@@ -168,7 +168,9 @@
     const json record{ { "primary", "s1" },
                        { "term", 4 },
                        { "open", true },
-                       { "replicas", { { "s2", json::array({ 5, "listed" }) } } } };
+                       { "candidate", "s2" },
+                       { "replicas", { { "s2", json::array({ 5, "listed" }) } } },
+                       { "required", 12 } };
     rejects(record, isAccepted(DecodePromotionRecord));
     Section("replicas of a stored promotion are checked as well", [&] {
       for (const json& replica : { json(1),
--- a/packages/proxy/tests/SyncReplicaPromotionTest.cpp
+++ b/packages/proxy/tests/SyncReplicaPromotionTest.cpp
@@ -539,7 +539,7 @@
     Section("a replica that leads is none",
             [&] { CPPUNIT_ASSERT(UpdateReplicas(replicas, {}, replica).empty()); });
     Section("the stored form holds all of it", [&] {
-      PromotionRecord record{ primary, 4, true, replicas };
+      PromotionRecord record{ primary, 4, true, replica, replicas, 12 };
       CPPUNIT_ASSERT(DecodePromotionRecord(EncodePromotionRecord(record)) == record);
     });
   }
--- a/packages/proxy/tests/VmDatabaseNetwork.h
+++ b/packages/proxy/tests/VmDatabaseNetwork.h
@@ -61,6 +61,11 @@
     this->network.SetCut(this->links[server], aIsCut);
   }
 
+  bool IsCut(const std::string& aServer) const
+  {
+    return this->cutServers.contains(ServerId(aServer));
+  }
+
 private:
   FakeNetwork& network;
   Scheduler& scheduler;
