--- a/packages/proxy/tests/PromotionHistoryTest.cpp
+++ b/packages/proxy/tests/PromotionHistoryTest.cpp
@@ -77,7 +77,7 @@
 
   std::string PickServer(bool aIsPrimary)
   {
-    const std::string primary = this->group.Primary();
+    std::string primary = this->group.Primary();
     if (aIsPrimary) {
       return primary;
     }
