Review: a change just after a drill of the store is never seen

After a drill the store gives versions out again. A VM that asks for the changes after a version of the earlier era, once that version has been given out again, gets 200 without what was written before it, and confirms the configuration that it has. A key that was taken away just after the drill is served until the operator's row changes again.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -27,3 +27,4 @@
 earlier=review/6/standins
 replication=(review/11/standins/*.cpp "$earlier"/{Client,Daemon,LineSocket,Loop,Platform}.cpp)
 build case-11 review/11/Case.cpp "${replication[@]}"
+build case-12 review/12/Case.cpp review/drill/*.cpp
