Review: fencing tokens are given out again after a drill

The next fencing token is the stored one plus one. A drill of the store takes the tokens away with which a VM has just promoted, and the next holder of the promotion lease promotes the same services with them.

One drill, all else is planned work.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -28,3 +28,4 @@
 replication=(review/11/standins/*.cpp "$earlier"/{Client,Daemon,LineSocket,Loop,Platform}.cpp)
 build case-11 review/11/Case.cpp "${replication[@]}"
 build case-12 review/12/Case.cpp review/drill/*.cpp
+build case-13 review/13/Case.cpp review/drill/*.cpp
