Review: a replica that starts again empty counts for a promotion

A replica that alone has received the latest commits starts again under its id with an empty log. Its answer counts like that of the replica before, so a replica that has received nothing meanwhile is promoted, although the silent primary comes back with all commits.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -29,3 +29,4 @@
 build case-11 review/11/Case.cpp "${replication[@]}"
 build case-12 review/12/Case.cpp review/drill/*.cpp
 build case-13 review/13/Case.cpp review/drill/*.cpp
+build case-14 review/14/Case.cpp "${replication[@]}"
