Review: a VM that starts after a drill serves a withdrawn key

A VM that starts just after a drill of the store takes the configuration of the copy for the present one, and serves a key that was taken away until the operator has written again, although all other VMs hold the later configuration.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -30,3 +30,4 @@
 build case-12 review/12/Case.cpp review/drill/*.cpp
 build case-13 review/13/Case.cpp review/drill/*.cpp
 build case-14 review/14/Case.cpp "${replication[@]}"
+build case-15 review/15/Case.cpp review/drill/*.cpp
