Review: move the stand-ins of cases 12, 13 and 15 into a case folder

A case is a folder review/N/, so review/drill becomes review/12/standins, as the stand-ins of cases 11 and 14 are in review/11.

--- a/review/13/Case.cpp
+++ b/review/13/Case.cpp
@@ -1,7 +1,7 @@
 // After a drill of the store, fencing tokens with which a VM has promoted are given out again. The
 // next holder of the promotion lease promotes with one of them.
 
-#include "../drill/Deployment.h"
+#include "../12/standins/Deployment.h"
 
 #include <algorithm>
 #include <iostream>
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -27,7 +27,7 @@
 earlier=review/6/standins
 replication=(review/11/standins/*.cpp "$earlier"/{Client,Daemon,LineSocket,Loop,Platform}.cpp)
 build case-11 review/11/Case.cpp "${replication[@]}"
-build case-12 review/12/Case.cpp review/drill/*.cpp
-build case-13 review/13/Case.cpp review/drill/*.cpp
+build case-12 review/12/Case.cpp review/12/standins/*.cpp
+build case-13 review/13/Case.cpp review/12/standins/*.cpp
 build case-14 review/14/Case.cpp "${replication[@]}"
-build case-15 review/15/Case.cpp review/drill/*.cpp
+build case-15 review/15/Case.cpp review/12/standins/*.cpp
